--- /dev/null
+++ b/src/primrosehub/binaries/_operator_context.py
@@ -0,0 +1,64 @@
+"""What every operators' command needs: settings, the table and the object store."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+from primrosehub.border.settings import (
+    OperatorSettings,
+    SettingsError,
+    read_settings,
+)
+from primrosehub.core.errors import HubError
+from primrosehub.core.table import TableOutcomeUnknown, TableUnavailable
+from primrosehub.kernel import Kernel
+from primrosehub.services import names
+
+MANIFEST = (
+    (names.METRICS, "primrosehub.services.metrics:MetricsRegistry"),
+    (names.TABLE, "primrosehub.services.table:TableClient"),
+    (names.OBJECTS, "primrosehub.services.objects:ObjectsClient"),
+    (names.HOST_LIST, "primrosehub.services.host_list:HostListClient"),
+)
+
+
+class OperatorError(Exception):
+    """Tell the operator what is wrong and what to do."""
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """Hold the platform's services, found by name."""
+
+    table: names.Table
+    objects: names.Objects
+    host_list: names.HostList
+
+
+@contextmanager
+def platform(settings: Path) -> Iterator[Platform]:
+    """Open the platform's services; raise OperatorError when one is away."""
+    try:
+        kernel = Kernel(read_settings(OperatorSettings, settings))
+        for name, factory in MANIFEST:
+            kernel.load(name, factory)
+        with ExitStack() as stack:
+            kernel.start(stack)
+            yield Platform(
+                kernel.find(names.TABLE),
+                kernel.find(names.OBJECTS),
+                kernel.find(names.HOST_LIST),
+            )
+    except SettingsError as error:
+        raise OperatorError(str(error)) from None
+    except HubError as error:
+        raise OperatorError(error.detail) from None
+    except TableUnavailable as error:
+        raise OperatorError(f"the table: {error}; nothing changed; try again") from None
+    except TableOutcomeUnknown:
+        raise OperatorError(
+            "the table gave no answer; 'primrosehub rules show' tells what is in force"
+        ) from None
--- /dev/null
+++ b/src/primrosehub/border/__init__.py
@@ -0,0 +1,1 @@
+"""Validate what enters and encode what leaves the process."""
--- /dev/null
+++ b/src/primrosehub/border/http_server.py
@@ -0,0 +1,20 @@
+"""What our HTTP servers change in gevent's WSGI handler."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from gevent import socket
+from gevent.pywsgi import WSGIHandler
+
+
+class PromptHandler(WSGIHandler):
+    """Send the head and the body of an answer without waiting between them.
+
+    The handler writes them separately; with Nagle's algorithm on, the body then
+    waits for the peer's delayed acknowledgement, about 40 ms.
+    """
+
+    def __init__(self, sock: socket.socket, address: Any, server: Any) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().__init__(sock, address, server)
--- /dev/null
+++ b/src/primrosehub/core/__init__.py
@@ -0,0 +1,1 @@
+"""The data classes that every service shares."""
--- /dev/null
+++ b/src/primrosehub/core/errors.py
@@ -0,0 +1,63 @@
+"""The closed list of error kinds and the answer to each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class ErrorKind(StrEnum):
+    """Name everything that a caller may be told went wrong."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    CONFLICT = "conflict"
+    ALREADY_SENT = "already_sent"
+    TOO_LARGE = "too_large"
+    UNRUNNABLE = "unrunnable"
+    OVERLOADED = "overloaded"
+    DEADLINE_TOO_SHORT = "deadline_too_short"
+    UNAVAILABLE = "unavailable"
+    BACKEND_FAILED = "backend_failed"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Say how an error kind is answered; ``not_run`` None means unknown."""
+
+    status: int
+    title: str
+    not_run: bool | None
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, "The request is malformed", True),
+    ErrorKind.UNAUTHENTICATED: Answer(401, "The key is missing or not valid", True),
+    ErrorKind.FORBIDDEN: Answer(403, "The key's team may not do this", True),
+    ErrorKind.NOT_FOUND: Answer(404, "There is no such thing", True),
+    ErrorKind.METHOD_NOT_ALLOWED: Answer(405, "The method does not fit the path", True),
+    ErrorKind.CONFLICT: Answer(409, "The request contradicts an earlier one", True),
+    ErrorKind.ALREADY_SENT: Answer(409, "The request was sent once before", None),
+    ErrorKind.TOO_LARGE: Answer(413, "The body is too large", True),
+    ErrorKind.UNRUNNABLE: Answer(422, "No worker host can ever run this job", True),
+    ErrorKind.OVERLOADED: Answer(503, "All slots are taken", True),
+    ErrorKind.DEADLINE_TOO_SHORT: Answer(503, "The deadline can not be met", True),
+    ErrorKind.UNAVAILABLE: Answer(503, "A needed part is unavailable", True),
+    ErrorKind.BACKEND_FAILED: Answer(502, "The backend server failed", False),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(504, "It is not known if this ran", None),
+    ErrorKind.INTERNAL: Answer(500, "The scheduler itself failed", None),
+}
+
+
+class HubError(Exception):
+    """Carry an error kind and a detail that tells the user what to do."""
+
+    def __init__(self, kind: ErrorKind, detail: str) -> None:
+        super().__init__(f"{kind}: {detail}")
+        self.kind = kind
+        self.detail = detail
--- /dev/null
+++ b/src/primrosehub/core/rendezvous.py
@@ -0,0 +1,28 @@
+"""Rendezvous hashing: who of the living should own a thing."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+
+def score(owner: str, thing: str) -> int:
+    """Return the rank of an owner for a thing; the highest should own it."""
+    digest = hashlib.blake2b(f"{owner}\0{thing}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def choose(owners: Iterable[str], thing: str) -> str | None:
+    """Return the owner that should own the thing, or None without owners."""
+    return max(owners, key=lambda owner: (score(owner, thing), owner), default=None)
+
+
+def shard_of(region: str, zone: str, rack: str, shards: int) -> str:
+    """Return the name of the shard that a rack belongs to."""
+    number = score(rack, f"{region}/{zone}") % shards
+    return f"{region}-{number:03d}"
+
+
+def shard_names(region: str, shards: int) -> list[str]:
+    """Return the names of all shards of a region."""
+    return [f"{region}-{number:03d}" for number in range(shards)]
--- /dev/null
+++ b/src/primrosehub/core/resources.py
@@ -0,0 +1,78 @@
+"""Amounts of processors, memory and accelerators."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """Hold an amount of each resource: millicores, MiB, pieces."""
+
+    cpu_m: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cpu_m + other.cpu_m,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cpu_m - other.cpu_m,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def __mul__(self, count: int) -> Resources:
+        return Resources(
+            self.cpu_m * count, self.memory_mb * count, self.accelerators * count
+        )
+
+    def fits_in(self, room: Resources) -> bool:
+        """Tell whether this amount is at most the room in every resource."""
+        return (
+            self.cpu_m <= room.cpu_m
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+    def cut_to(self, room: Resources) -> Resources:
+        """Return the smaller amount of each resource, never below zero."""
+        return Resources(
+            max(0, min(self.cpu_m, room.cpu_m)),
+            max(0, min(self.memory_mb, room.memory_mb)),
+            max(0, min(self.accelerators, room.accelerators)),
+        )
+
+    def dominant_share(self, total: Resources) -> float:
+        """Return the largest fraction that this is of the total, 0 to 1."""
+        return max(
+            self.cpu_m / total.cpu_m if total.cpu_m else 0.0,
+            self.memory_mb / total.memory_mb if total.memory_mb else 0.0,
+            self.accelerators / total.accelerators if total.accelerators else 0.0,
+        )
+
+    def times_contained(self, size: Resources) -> int:
+        """Return how many pieces of the given size this amount holds."""
+        ratios = [
+            room // need
+            for room, need in (
+                (self.cpu_m, size.cpu_m),
+                (self.memory_mb, size.memory_mb),
+                (self.accelerators, size.accelerators),
+            )
+            if need
+        ]
+        return max(0, min(ratios)) if ratios else 0
+
+
+NOTHING = Resources()
+
+
+def total(amounts: list[Resources]) -> Resources:
+    """Return the sum of the amounts."""
+    return sum(amounts, NOTHING)
--- /dev/null
+++ b/src/primrosehub/kernel/_kernel.py
@@ -0,0 +1,98 @@
+"""The micro-kernel: a registry of named services and their life cycle."""
+
+from __future__ import annotations
+
+import importlib
+import signal
+from collections.abc import Callable
+from contextlib import ExitStack
+from dataclasses import dataclass
+from typing import Any, Generic, Protocol, TypeVar, cast
+
+import gevent
+from gevent.event import Event
+
+from primrosehub.core.logs import log
+from primrosehub.kernel._tasks import TaskGroup
+
+T = TypeVar("T")
+
+
+class Service(Protocol):
+    """Describe what the kernel needs of each service."""
+
+    def start(self, stack: ExitStack) -> None:
+        """Look up other services, spawn tasks, push clean-up on the stack."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceName(Generic[T]):
+    """Name a service together with the interface it offers."""
+
+    name: str
+
+
+class Kernel:
+    """Hold the services of one process."""
+
+    def __init__(self, settings: Any) -> None:
+        self.settings = settings
+        self.failed = False
+        self.stopping = Event()
+        self._services: dict[str, Service] = {}
+
+    def load(self, name: ServiceName[Any], factory_path: str) -> None:
+        """Create the service at ``module:factory`` and register it."""
+        module_name, _, factory_name = factory_path.partition(":")
+        factory = getattr(importlib.import_module(module_name), factory_name)
+        self.register(name, factory(self))
+
+    def register(self, name: ServiceName[T], service: T) -> None:
+        """Register a service; raise ValueError for a name already taken."""
+        if name.name in self._services:
+            raise ValueError(f"service {name.name!r} is registered already")
+        self._services[name.name] = cast(Service, service)
+
+    def find(self, name: ServiceName[T]) -> T:
+        """Return the service of this name; raise LookupError if there is none."""
+        if name.name not in self._services:
+            known = ", ".join(self._services)
+            raise LookupError(f"no service {name.name!r}; registered: {known}")
+        return cast(T, self._services[name.name])
+
+    def has(self, name: ServiceName[Any]) -> bool:
+        """Tell whether this process runs the service."""
+        return name.name in self._services
+
+    def tasks(self, stack: ExitStack) -> TaskGroup:
+        """Return a task group that ends with the stack."""
+        group = TaskGroup(self.fail)
+        stack.callback(group.close)
+        return group
+
+    def fail(self, task: str, error: BaseException) -> None:
+        """Stop the process because one of its tasks has failed."""
+        log("task_failed", task=task, error=repr(error))
+        self.failed = True
+        self.stopping.set()
+
+    def start(self, stack: ExitStack) -> None:
+        """Start all services in the order of registration."""
+        for name, service in self._services.items():
+            service.start(stack)
+            log("service_started", service=name)
+
+    def run(self, leave: Callable[[], None]) -> int:
+        """Run until a signal or a failed task; return the exit code.
+
+        ``leave`` is called before the services stop, to finish what is in flight.
+        """
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self.stopping.set)
+        with ExitStack() as stack:
+            self.start(stack)
+            self.stopping.wait()
+            if not self.failed:
+                leave()
+        log("stopped", failed=self.failed)
+        return 1 if self.failed else 0
--- /dev/null
+++ b/src/primrosehub/policy/outcomes.py
@@ -0,0 +1,84 @@
+"""What becomes of a task when an attempt at it has ended."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import assert_never
+
+from primrosehub.core.platform import Outcome
+from primrosehub.core.work import (
+    MAX_ATTEMPTS,
+    Job,
+    Service,
+    Task,
+    TaskState,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Reported:
+    """Say that the worker host reported how the attempt ended."""
+
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseLapsed:
+    """Say that the worker host's lease has lapsed, so that nothing runs there."""
+
+
+@dataclass(frozen=True, slots=True)
+class HostRestarted:
+    """Say that the worker host has restarted and knows nothing of the attempt."""
+
+
+End = Reported | LeaseLapsed | HostRestarted
+
+
+def after(job: Job, task: Task, end: End) -> Task:
+    """Return the task's next state.
+
+    A job that is not idempotent is never started twice: an attempt that may have
+    run without a reported end leaves its task unknown.
+    """
+    match end:
+        case Reported("succeeded"):
+            state = TaskState.SUCCEEDED
+        case Reported("failed"):
+            state = TaskState.FAILED
+        case Reported("refused"):
+            return _unplaced(job, task)
+        case Reported("stopped" | "lapsed") | LeaseLapsed() | HostRestarted():
+            return _interrupted(job, task)
+        case _:
+            assert_never(end)
+    if _starts_again(job, task, state):
+        return _pending(task)
+    return replace(task, state=state)
+
+
+def _starts_again(job: Job, task: Task, state: TaskState) -> bool:
+    if job.cancel_requested:
+        return False
+    if isinstance(job.spec.work, Service):
+        return True
+    failed = state is TaskState.FAILED
+    return failed and job.spec.idempotent and task.attempt < MAX_ATTEMPTS
+
+
+def _unplaced(job: Job, task: Task) -> Task:
+    if job.cancel_requested:
+        return replace(task, state=TaskState.CANCELLED)
+    return _pending(task)
+
+
+def _interrupted(job: Job, task: Task) -> Task:
+    if job.cancel_requested:
+        return replace(task, state=TaskState.CANCELLED)
+    if not job.spec.idempotent:
+        return replace(task, state=TaskState.UNKNOWN)
+    return _pending(task)
+
+
+def _pending(task: Task) -> Task:
+    return replace(task, state=TaskState.PENDING, host="", host_incarnation="")
--- /dev/null
+++ b/src/primrosehub/policy/placement.py
@@ -0,0 +1,251 @@
+"""Which pending tasks start on which worker hosts."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from primrosehub.core.resources import NOTHING, Resources
+from primrosehub.core.work import AllAtOnce, Batch, Job, Service, TaskState
+
+AGING_S = 60.0
+
+
+@dataclass(slots=True)
+class HostRoom:
+    """Hold what a worker host has free; placing takes from it."""
+
+    name: str
+    rack: str
+    free: Resources
+    used: Resources = NOTHING
+
+
+@dataclass(frozen=True, slots=True)
+class TeamState:
+    """Hold a team's weight, its use in the whole cell and its room under the grant."""
+
+    share: int
+    used: Resources
+    headroom: Resources
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Start one task of a job on a worker host."""
+
+    job: str
+    index: int
+    host: str
+
+
+@dataclass(frozen=True, slots=True)
+class NoRoom:
+    """Say that no worker host has this much free."""
+
+    needed: Resources
+
+
+@dataclass(frozen=True, slots=True)
+class OverGrant:
+    """Say that the team's grant does not cover this much more."""
+
+    needed: Resources
+
+
+@dataclass(frozen=True, slots=True)
+class BehindReservation:
+    """Say that the free worker hosts are kept for an older all-at-once job."""
+
+    job: str
+
+
+Blocked = NoRoom | OverGrant | BehindReservation
+
+
+@dataclass(slots=True)
+class Plan:
+    """Hold the placements, and for each job that waits the reason."""
+
+    placements: list[Placement] = field(default_factory=list)
+    blocked: dict[str, Blocked] = field(default_factory=dict)
+
+
+def plan(
+    jobs: Iterable[Job],
+    rooms: Sequence[HostRoom],
+    teams: Mapping[str, TeamState],
+    cell: Resources,
+    now_s: float,
+) -> Plan:
+    """Return the starts for the pending tasks; ``rooms`` is changed.
+
+    Urgent jobs go first. Then the team furthest below its weighted dominant share
+    of the cell goes next, its jobs in the order of their submission; a job that
+    does not fit lets later ones pass, but for an all-at-once job of some age, which
+    keeps the worker hosts with the most room for itself.
+    """
+    planner = _Planner(rooms, teams, cell, now_s)
+    planner.run(jobs)
+    return planner.plan
+
+
+class _Planner:
+    def __init__(
+        self,
+        rooms: Sequence[HostRoom],
+        teams: Mapping[str, TeamState],
+        cell: Resources,
+        now_s: float,
+    ) -> None:
+        self.plan = Plan()
+        self._rooms = list(rooms)
+        self._teams = teams
+        self._cell = cell
+        self._now_s = now_s
+        self._used = {name: team.used for name, team in teams.items()}
+        self._headroom = {name: team.headroom for name, team in teams.items()}
+        self._too_large: set[Resources] = set()
+        self._reserved_for = ""
+
+    def run(self, jobs: Iterable[Job]) -> None:
+        by_team: dict[str, list[Job]] = {}
+        urgent: list[Job] = []
+        for job in sorted(jobs, key=lambda job: (job.submitted_s, job.id)):
+            if job.spec.urgent:
+                urgent.append(job)
+            else:
+                by_team.setdefault(job.spec.team, []).append(job)
+        for job in urgent:
+            self._place(job)
+        heap = [(self._deficit(team), team, 0) for team in by_team]
+        heapq.heapify(heap)
+        while heap:
+            _, team, position = heapq.heappop(heap)
+            self._place(by_team[team][position])
+            if position + 1 < len(by_team[team]):
+                heapq.heappush(heap, (self._deficit(team), team, position + 1))
+
+    def _deficit(self, team: str) -> float:
+        """Return the team's weighted dominant share; the lowest goes next."""
+        share = self._teams[team].share if team in self._teams else 1
+        return self._used.get(team, NOTHING).dominant_share(self._cell) / share
+
+    def _place(self, job: Job) -> None:
+        pending = [t.index for t in job.tasks if t.state is TaskState.PENDING]
+        match job.spec.work:
+            case Batch():
+                for index in pending:
+                    if not self._place_one(job, index, self._best_fit(job)):
+                        return
+            case Service():
+                racks = Counter(
+                    room.rack
+                    for room in self._rooms
+                    for task in job.tasks
+                    if task.host == room.name and task.state is TaskState.ASSIGNED
+                )
+                for index in pending:
+                    room = self._best_spread(job, racks)
+                    if not self._place_one(job, index, room):
+                        return
+                    racks[room.rack] += 1
+            case AllAtOnce():
+                self._place_together(job, pending)
+
+    def _place_one(self, job: Job, index: int, room: HostRoom | None) -> bool:
+        size = job.spec.size
+        if not size.fits_in(self._headroom.get(job.spec.team, NOTHING)):
+            self.plan.blocked[job.id] = OverGrant(size)
+            return False
+        if room is None:
+            self._block(job, size)
+            return False
+        self._take(job, index, room)
+        return True
+
+    def _place_together(self, job: Job, pending: list[int]) -> None:
+        needed = job.spec.size * len(pending)
+        if not needed.fits_in(self._headroom.get(job.spec.team, NOTHING)):
+            self.plan.blocked[job.id] = OverGrant(needed)
+            return
+        chosen = self._rooms_for_all(job.spec.size, len(pending))
+        if chosen is None:
+            self._block(job, needed)
+            if self._now_s - job.submitted_s > AGING_S and not self._reserved_for:
+                self._reserve(job, len(pending))
+            return
+        for index, room in zip(pending, chosen, strict=True):
+            self._take(job, index, room)
+
+    def _rooms_for_all(self, size: Resources, count: int) -> list[HostRoom] | None:
+        """Return one room for each task, the fullest rooms that fit first."""
+        chosen: list[HostRoom] = []
+        for room in sorted(self._rooms, key=lambda room: self._left_over(room, size)):
+            fits = min(room.free.times_contained(size), count - len(chosen))
+            chosen.extend([room] * fits)
+            if len(chosen) == count:
+                return chosen
+        return None
+
+    def _reserve(self, job: Job, count: int) -> None:
+        """Keep the roomiest worker hosts that could hold the job from others."""
+        self._reserved_for = job.id
+        size = job.spec.size
+        capacity = 0
+        for room in sorted(self._rooms, key=lambda r: -self._left_over(r, size)):
+            if capacity >= count:
+                break
+            capacity += (room.free + room.used).times_contained(size)
+            self._rooms.remove(room)
+
+    def _block(self, job: Job, needed: Resources) -> None:
+        if self._reserved_for:
+            self.plan.blocked[job.id] = BehindReservation(self._reserved_for)
+        else:
+            self.plan.blocked[job.id] = NoRoom(needed)
+
+    def _best_fit(self, job: Job) -> HostRoom | None:
+        """Return the room with the least left over of the scarcest resource."""
+        size = job.spec.size
+        if size in self._too_large:
+            return None
+        best: HostRoom | None = None
+        best_left = float("inf")
+        for room in self._rooms:
+            if size.fits_in(room.free):
+                left = self._left_over(room, size)
+                if left < best_left:
+                    best, best_left = room, left
+        if best is None:
+            self._too_large.add(size)
+        return best
+
+    def _best_spread(self, job: Job, racks: Counter[str]) -> HostRoom | None:
+        size = job.spec.size
+        fitting = [room for room in self._rooms if size.fits_in(room.free)]
+        return min(
+            fitting,
+            key=lambda room: (racks[room.rack], self._left_over(room, size)),
+            default=None,
+        )
+
+    def _left_over(self, room: HostRoom, size: Resources) -> float:
+        """Return the largest fraction of the cell that would stay free there.
+
+        An accelerator left idle by work that asks for none counts most.
+        """
+        free, cell = room.free, self._cell
+        left = (free.cpu_m - size.cpu_m) / (cell.cpu_m or 1)
+        left += (free.memory_mb - size.memory_mb) / (cell.memory_mb or 1)
+        return left + (free.accelerators - size.accelerators)
+
+    def _take(self, job: Job, index: int, room: HostRoom) -> None:
+        size, team = job.spec.size, job.spec.team
+        room.free -= size
+        room.used += size
+        self._headroom[team] -= size
+        self._used[team] = self._used.get(team, NOTHING) + size
+        self.plan.placements.append(Placement(job.id, index, room.name))
--- /dev/null
+++ b/src/primrosehub/services/_shard_state.py
@@ -0,0 +1,126 @@
+"""The jobs of one shard: committed rows, and the changes drafted on top of them."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from primrosehub.border.codec import from_plain, to_plain
+from primrosehub.core import keys
+from primrosehub.core.resources import NOTHING, Resources
+from primrosehub.core.table import Expect, Row, Transaction, Write
+from primrosehub.core.work import Job, JobState, Task, TaskRef, TaskState
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """Hold a job as committed; ``listed`` tells whether its open row exists."""
+
+    job: Job
+    version: int
+    listed: bool
+
+
+@dataclass(slots=True)
+class Draft:
+    """Collect changed jobs, and inbox rows that they settle, until committed."""
+
+    jobs: dict[str, Job] = field(default_factory=dict)
+    inbox: dict[str, Row] = field(default_factory=dict)
+
+    def __bool__(self) -> bool:
+        return bool(self.jobs or self.inbox)
+
+
+class ShardState:
+    """Know every open job of a shard and what its tasks take on each worker host."""
+
+    def __init__(self, shard: str) -> None:
+        self.shard = shard
+        self.entries: dict[str, Entry] = {}
+        self._by_host: dict[str, dict[TaskRef, Task]] = defaultdict(dict)
+
+    def put(self, entry: Entry) -> None:
+        """Take over a committed job."""
+        self.drop(entry.job.id)
+        self.entries[entry.job.id] = entry
+        for task in entry.job.tasks:
+            if task.state is TaskState.ASSIGNED:
+                self._by_host[task.host][entry.job.ref(task)] = task
+
+    def put_row(self, row: Row, listed: bool) -> Job:
+        """Take over a job as read from the table."""
+        job = from_plain(Job, row.value)
+        self.put(Entry(job, row.version, listed))
+        return job
+
+    def drop(self, job_id: str) -> None:
+        """Forget a job."""
+        entry = self.entries.pop(job_id, None)
+        if entry is None:
+            return
+        for task in entry.job.tasks:
+            if task.state is TaskState.ASSIGNED:
+                self._by_host[task.host].pop(entry.job.ref(task), None)
+
+    def assigned_to(self, host: str) -> dict[TaskRef, Task]:
+        """Return the attempts assigned to a worker host."""
+        return self._by_host.get(host, {})
+
+    def hosts_in_use(self) -> set[str]:
+        """Return the worker hosts that have an attempt assigned."""
+        return {host for host, refs in self._by_host.items() if refs}
+
+    def used_on(self, host: str) -> Resources:
+        """Return what the attempts assigned to a worker host take there."""
+        used = NOTHING
+        for ref in self.assigned_to(host):
+            used += self.entries[ref.job].job.spec.size
+        return used
+
+    def used_by_team(self) -> dict[str, Resources]:
+        """Return what each team's assigned attempts take in this shard."""
+        used: dict[str, Resources] = defaultdict(Resources)
+        for refs in self._by_host.values():
+            for ref in refs:
+                spec = self.entries[ref.job].job.spec
+                used[spec.team] += spec.size
+        return dict(used)
+
+    def pending(self) -> Iterator[Job]:
+        """Return the open jobs that have a task to place."""
+        for entry in self.entries.values():
+            if any(task.state is TaskState.PENDING for task in entry.job.tasks):
+                yield entry.job
+
+    def transaction(self, draft: Draft, shard_row: Expect) -> Transaction:
+        """Return the transaction that commits a draft under this ownership."""
+        expects = [shard_row]
+        writes: list[Write] = []
+        for job in draft.jobs.values():
+            entry = self.entries[job.id]
+            expects.append(Expect(keys.job(job.id), entry.version))
+            writes.append(Write(keys.job(job.id), to_plain(job)))
+            writes.extend(self._listing(job, entry.listed))
+        for row in draft.inbox.values():
+            expects.append(Expect(row.key, row.version))
+            writes.append(Write(row.key, None))
+        return Transaction(tuple(expects), tuple(writes))
+
+    def _listing(self, job: Job, listed: bool) -> Iterator[Write]:
+        wanted = job.state is JobState.OPEN and job.shard == self.shard
+        if wanted and not listed:
+            yield Write(keys.open_job(self.shard, job.id), {})
+        if listed and not wanted:
+            yield Write(keys.open_job(self.shard, job.id), None)
+        if job.shard != self.shard:
+            yield Write(keys.inbox(job.shard, job.id), {})
+
+    def committed(self, draft: Draft, version: int) -> None:
+        """Take over a draft whose transaction was applied."""
+        for job in draft.jobs.values():
+            if job.state is JobState.OPEN and job.shard == self.shard:
+                self.put(Entry(job, version, listed=True))
+            else:
+                self.drop(job.id)
--- /dev/null
+++ b/src/primrosehub/services/_worker_session.py
@@ -0,0 +1,143 @@
+"""The owner's side of one worker host: its lease, its orders and its reports."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from gevent.event import Event
+from pydantic import ValidationError
+
+from primrosehub.border.codec import decode, describe, encode
+from primrosehub.border.http_client import HttpEndpoint, NoAnswer, NotSent
+from primrosehub.border.settings import Timing
+from primrosehub.core.logs import log
+from primrosehub.core.platform import Host, StartTask, SyncReply, SyncRequest
+from primrosehub.core.work import TaskRef
+
+SYNC_TIMEOUT_S = 2.0
+RETRY_S = 1.0
+MAX_ORDERS_PER_SYNC = 200
+_HEADERS = (("Content-Type", "application/json"),)
+_OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Hold one worker host's reply, as the shard's task takes it."""
+
+    host: str
+    reply: SyncReply
+
+
+@dataclass(slots=True)
+class WorkerSession:
+    """Synchronize with one worker host until closed.
+
+    ``free_at`` is the monotonic time from which nothing started under an earlier
+    lease can still run there: each request that may prolong the lease moves it
+    before it is sent.
+    """
+
+    host: Host
+    shard: str
+    epoch: int
+    timing: Timing
+    free_at: float
+    may_renew: Callable[[], bool]
+    report: Callable[[Report], None]
+    superseded: Callable[[int], None]
+    starts: dict[TaskRef, StartTask] = field(default_factory=dict)
+    stops: set[TaskRef] = field(default_factory=set)
+    acks: set[TaskRef] = field(default_factory=set)
+    incarnation: str = ""
+    fenced: bool = False
+    reachable: bool = False
+    closed: bool = False
+    syncs: int = 0
+    _token: int | None = None
+    _wake: Event = field(default_factory=Event)
+
+    def wake(self) -> None:
+        """Synchronize at once."""
+        self._wake.set()
+
+    def close(self) -> None:
+        """Send nothing more."""
+        self.closed = True
+        self._wake.set()
+
+    @property
+    def lapsed(self) -> bool:
+        """Tell whether the lease has run out for sure."""
+        return not self.reachable and time.monotonic() > self.free_at
+
+    def run(self) -> None:
+        """Synchronize now, then at each period, at each order, and after failures."""
+        endpoint = HttpEndpoint(self.host.ip, self.host.port, max_idle=1)
+        try:
+            while not self.closed:
+                first = not self.fenced
+                if self.may_renew():
+                    self.reachable = self._sync(endpoint)
+                if not (first and self.fenced):
+                    self._wake.wait(self.timing.sync_s if self.reachable else RETRY_S)
+                self._wake.clear()
+        finally:
+            endpoint.close()
+
+    def _sync(self, endpoint: HttpEndpoint) -> bool:
+        request = self._request()
+        if request.token is not None:
+            lease_s = self.timing.lease_s + self.timing.drift_s
+            self.free_at = max(self.free_at, time.monotonic() + lease_s)
+        try:
+            response = endpoint.exchange(
+                "POST", "/v1/sync", _HEADERS, encode(request), timeout_s=SYNC_TIMEOUT_S
+            )
+            if response.status != _OK:
+                raise NoAnswer(f"it answered {response.status}")
+            reply = decode(SyncReply, response.body)
+        except (NotSent, NoAnswer) as error:
+            if self.reachable:
+                log("worker_silent", worker=self.host.name, reason=str(error))
+            return False
+        except ValidationError as error:
+            reason = describe(error)[:200]
+            log("worker_malformed", worker=self.host.name, reason=reason)
+            return False
+        self.syncs += 1
+        return self._take(request, reply)
+
+    def _request(self) -> SyncRequest:
+        if not self.fenced:
+            return SyncRequest(self.shard, self.epoch, None, self.timing.lease_s)
+        return SyncRequest(
+            shard=self.shard,
+            epoch=self.epoch,
+            token=self._token,
+            lease_s=self.timing.lease_s,
+            starts=tuple(self.starts.values())[:MAX_ORDERS_PER_SYNC],
+            stops=tuple(self.stops)[:MAX_ORDERS_PER_SYNC],
+            acks=tuple(self.acks)[:MAX_ORDERS_PER_SYNC],
+        )
+
+    def _take(self, request: SyncRequest, reply: SyncReply) -> bool:
+        if self.closed:
+            return False
+        if reply.installed_epoch != self.epoch:
+            log("worker_refused_epoch", worker=self.host.name, epoch=self.epoch)
+            self.superseded(reply.installed_epoch)
+            return False
+        self.fenced = True
+        self._token = reply.token
+        self.incarnation = reply.incarnation
+        for start in request.starts:
+            self.starts.pop(start.ref, None)
+        self.stops.difference_update(request.stops)
+        self.acks.difference_update(request.acks)
+        if self.starts or self.stops or len(self.acks) >= MAX_ORDERS_PER_SYNC:
+            self._wake.set()
+        self.report(Report(self.host.name, reply))
+        return True
--- /dev/null
+++ b/src/primrosehub/services/admission.py
@@ -0,0 +1,61 @@
+"""Admission: which team a piece of work is accepted for."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from contextlib import ExitStack
+
+from primrosehub.core.errors import ErrorKind, HubError
+from primrosehub.core.rules import Access, ForTeams, OpenToAll
+from primrosehub.kernel import Kernel
+from primrosehub.services.names import CONFIGURATION
+
+
+class AdmissionService:
+    """Match keys against the configuration in force."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+
+    def start(self, stack: ExitStack) -> None:
+        """Look up the configuration."""
+        self._configuration = self._kernel.find(CONFIGURATION)
+
+    def team_of_key(self, secret: str | None) -> str:
+        """Return the team of a key; raise HubError."""
+        self._require_trust()
+        if not secret:
+            raise HubError(
+                ErrorKind.UNAUTHENTICATED, "send your key in the Primrosehub-Key header"
+            )
+        digest = hashlib.sha256(secret.encode()).hexdigest()
+        key = self._configuration.current.keys.get(digest)
+        if key is None or not hmac.compare_digest(key.sha256, digest):
+            raise HubError(
+                ErrorKind.UNAUTHENTICATED,
+                "this key is unknown or withdrawn; ask an operator for a new one",
+            )
+        return key.team
+
+    def team_for(self, access: Access, secret: str | None, what: str) -> str:
+        """Return the team charged for the work; raise HubError."""
+        match access:
+            case OpenToAll(team=team):
+                self._require_trust()
+                return self.team_of_key(secret) if secret else team
+            case ForTeams(teams=teams):
+                team = self.team_of_key(secret)
+                if team not in teams:
+                    raise HubError(
+                        ErrorKind.FORBIDDEN, f"team {team} may not use {what}"
+                    )
+                return team
+
+    def _require_trust(self) -> None:
+        if not self._configuration.trusted:
+            raise HubError(
+                ErrorKind.UNAVAILABLE,
+                "this daemon can not tell whether its keys are current; try again, "
+                "the balancer will find another one",
+            )
--- /dev/null
+++ b/src/primrosehub/services/grants.py
@@ -0,0 +1,135 @@
+"""Grants: each shard's part of a team's upper limit, agreed through the table."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import ExitStack
+from dataclasses import dataclass
+
+from primrosehub.border.codec import from_plain, to_plain
+from primrosehub.core import keys
+from primrosehub.core.logs import log
+from primrosehub.core.resources import NOTHING, Resources
+from primrosehub.core.table import (
+    ABSENT,
+    Applied,
+    Conflicted,
+    Expect,
+    Row,
+    TableOutcomeUnknown,
+    TableUnavailable,
+    Transaction,
+    Write,
+)
+from primrosehub.kernel import Kernel
+from primrosehub.services.names import CONFIGURATION, METRICS, TABLE, Keys
+
+MAX_TRIES = 4
+
+
+NewAmount = Callable[[Resources, Resources], Resources]
+
+
+@dataclass(slots=True)
+class _Part:
+    amount: Resources = NOTHING
+    version: int = ABSENT
+
+
+class GrantsService:
+    """Raise and shrink grants; their sum for a team never passes its limit.
+
+    A part and the team's sum are written in one transaction. What is held in
+    memory is never more than what the table holds.
+    """
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._parts: dict[tuple[str, str], _Part] = {}
+
+    def start(self, stack: ExitStack) -> None:
+        """Look up the services that grants need."""
+        self._configuration = self._kernel.find(CONFIGURATION)
+        self._metrics = self._kernel.find(METRICS)
+        self._table = self._kernel.find(TABLE)
+
+    def load(self, shard: str) -> None:
+        """Read the shard's grants; raise TableUnavailable."""
+        for key in [key for key in self._parts if key[0] == shard]:
+            del self._parts[key]
+        for row in self._table.read_all(keys.grant(shard)):
+            team = row.key.removeprefix(keys.grant(shard))
+            amount = from_plain(Resources, row.value)
+            self._parts[shard, team] = _Part(amount, row.version)
+
+    def granted(self, shard: str, team: str) -> Resources:
+        """Return the amount that the shard may run for the team."""
+        part = self._parts.get((shard, team))
+        return part.amount if part else NOTHING
+
+    def request(self, shard: str, team: str, needed: Resources) -> None:
+        """Raise the grant towards the needed amount, as far as the limit goes."""
+        rule = self._configuration.current.teams.get(team)
+        limit = rule.limit if rule else NOTHING
+
+        def raised(part: Resources, others: Resources) -> Resources:
+            more = (needed - part).cut_to(limit - others - part)
+            return part + more
+
+        self._change(shard, team, raised)
+
+    def shrink(self, shard: str, team: str, used: Resources) -> None:
+        """Give back what is not in use."""
+        part = self._parts.get((shard, team))
+        if part is None or part.amount == used:
+            return
+        # The lower bound holds from now on, even if the write's outcome is unknown.
+        part.amount = used.cut_to(part.amount)
+        self._change(shard, team, lambda _, __: part.amount)
+
+    def _change(self, shard: str, team: str, new_amount: NewAmount) -> None:
+        try:
+            for _ in range(MAX_TRIES):
+                if self._try_change(shard, team, new_amount):
+                    return
+        except TableUnavailable:
+            log("grant_not_changed", shard=shard, team=team, reason="no table")
+        except TableOutcomeUnknown:
+            # The part in memory stays at the lesser amount; its version is stale,
+            # so the next change reads the rows again.
+            log("grant_not_changed", shard=shard, team=team, reason="unknown")
+
+    def _try_change(self, shard: str, team: str, new_amount: NewAmount) -> bool:
+        part_key, sum_key = keys.grant(shard, team), keys.granted(team)
+        rows = {row.key: row for row in self._table.read(Keys((part_key, sum_key)))[0]}
+        part_row, sum_row = rows.get(part_key), rows.get(sum_key)
+        old, granted = _amount(part_row), _amount(sum_row)
+        amount = new_amount(old, granted - old)
+        if amount == old:
+            self._parts[shard, team] = _Part(old, _version(part_row))
+            return True
+        transaction = Transaction(
+            (
+                Expect(part_key, _version(part_row)),
+                Expect(sum_key, _version(sum_row)),
+            ),
+            (
+                Write(part_key, to_plain(amount)),
+                Write(sum_key, to_plain(granted - old + amount)),
+            ),
+        )
+        match self._table.commit(transaction):
+            case Applied(version):
+                self._parts[shard, team] = _Part(amount, version)
+                self._metrics.count("grants_changed")
+                return True
+            case Conflicted():
+                return False
+
+
+def _amount(row: Row | None) -> Resources:
+    return from_plain(Resources, row.value) if row else NOTHING
+
+
+def _version(row: Row | None) -> int:
+    return row.version if row else ABSENT
--- /dev/null
+++ b/src/primrosehub/services/host_list.py
@@ -0,0 +1,67 @@
+"""The adapter to the platform's lagging list of hosts, over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from contextlib import ExitStack
+
+import gevent
+from pydantic import ValidationError
+
+from primrosehub.border.codec import decode, describe
+from primrosehub.border.http_client import HttpEndpoint, NoAnswer, NotSent
+from primrosehub.core.logs import log
+from primrosehub.core.platform import Host
+from primrosehub.kernel import Kernel
+
+_TIMEOUT_S = 5.0
+_OK, _NOT_MODIFIED = 200, 304
+
+
+class HostListClient:
+    """Poll the list and keep the last one while the platform is away."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        platform = kernel.settings.platform
+        self._kernel = kernel
+        self._poll_s: float = platform.host_poll_s
+        address = platform.host_list
+        self._endpoint = HttpEndpoint(str(address.ip), address.port, max_idle=1)
+        self._hosts: dict[str, Host] = {}
+        self._tag = ""
+
+    def start(self, stack: ExitStack) -> None:
+        """Read the list once, then poll it."""
+        stack.callback(self._endpoint.close)
+        self._poll()
+        self._kernel.tasks(stack).spawn("host-list", self._run)
+
+    def hosts(self) -> Mapping[str, Host]:
+        """Return the hosts by name."""
+        return self._hosts
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(self._poll_s if self._hosts else 1.0)
+            self._poll()
+
+    def _poll(self) -> None:
+        headers = (("If-None-Match", self._tag),) if self._tag else ()
+        try:
+            response = self._endpoint.exchange(
+                "GET", "/v1/hosts", headers, timeout_s=_TIMEOUT_S
+            )
+            if response.status == _NOT_MODIFIED:
+                return
+            if response.status != _OK:
+                raise NoAnswer(f"it answered {response.status}")
+            hosts = decode(list[Host], response.body)
+        except (NotSent, NoAnswer) as error:
+            log("host_list_unavailable", reason=str(error))
+            return
+        except ValidationError as error:
+            log("host_list_malformed", reason=describe(error)[:400])
+            return
+        self._hosts = {host.name: host for host in hosts}
+        self._tag = response.header("ETag")
+        log("host_list_read", hosts=len(hosts))
--- /dev/null
+++ b/src/primrosehub/services/jobs.py
@@ -0,0 +1,173 @@
+"""Durable jobs as callers see them: accepted once, read, listed and cancelled."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from contextlib import ExitStack
+from dataclasses import replace
+
+from primrosehub.border.codec import encode, from_plain, to_plain
+from primrosehub.core import keys
+from primrosehub.core.errors import ErrorKind, HubError
+from primrosehub.core.platform import Host
+from primrosehub.core.rendezvous import shard_of
+from primrosehub.core.table import (
+    ABSENT,
+    Applied,
+    Conflicted,
+    Expect,
+    Row,
+    TableOutcomeUnknown,
+    TableUnavailable,
+    Transaction,
+    Write,
+)
+from primrosehub.core.work import Job, JobSpec, JobState, Task
+from primrosehub.kernel import Kernel
+from primrosehub.policy.runnable import NeverRunnable, RunnableIn, judge
+from primrosehub.services.names import (
+    CONFIGURATION,
+    HOST_LIST,
+    METRICS,
+    PEERS,
+    TABLE,
+    Keys,
+    Prefix,
+)
+
+MAX_CANCEL_TRIES = 5
+
+
+class JobsService:
+    """Write jobs to the table and nudge the owner of their shard."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._settings = kernel.settings
+
+    def start(self, stack: ExitStack) -> None:
+        """Look up the services that jobs need."""
+        self._configuration = self._kernel.find(CONFIGURATION)
+        self._hosts = self._kernel.find(HOST_LIST)
+        self._metrics = self._kernel.find(METRICS)
+        self._peers = self._kernel.find(PEERS)
+        self._table = self._kernel.find(TABLE)
+
+    def submit(self, spec: JobSpec, idempotency_key: str) -> tuple[Job, bool]:
+        """Store a job once; return it and whether it is new."""
+        digest = hashlib.sha256(encode(spec)).hexdigest()
+        name = hashlib.sha256(idempotency_key.encode()).hexdigest()[:20]
+        job = Job(
+            id=f"{spec.team}.{name}",
+            spec=spec,
+            digest=digest,
+            shard=self._choose_shard(spec),
+            submitted_s=time.time(),
+            tasks=tuple(Task(index) for index in range(spec.tasks)),
+        )
+        key = keys.job(job.id)
+        insert = Transaction(
+            (Expect(key, ABSENT),),
+            (Write(key, to_plain(job)), Write(keys.inbox(job.shard, job.id), {})),
+        )
+        match self._commit(insert):
+            case Applied():
+                self._metrics.count("jobs_accepted", kind=spec.work.kind)
+                self._peers.nudge_inbox(job.shard)
+                return job, True
+            case Conflicted():
+                return self._earlier(job), False
+
+    def read(self, team: str, job_id: str) -> Job:
+        """Return a job of the team; raise HubError."""
+        row = self._read_row(team, job_id)
+        return from_plain(Job, row.value)
+
+    def list_jobs(self, team: str, after: str, limit: int) -> list[Job]:
+        """Return the team's jobs in the order of their ids."""
+        start = keys.job(after) if after else ""
+        query = Prefix(keys.job(f"{team}."), start, limit)
+        try:
+            rows = self._table.read(query)[0]
+        except TableUnavailable as error:
+            raise _unavailable(error) from None
+        return [from_plain(Job, row.value) for row in rows]
+
+    def cancel(self, team: str, job_id: str) -> Job:
+        """Ask for a job's cancellation; return the job."""
+        for _ in range(MAX_CANCEL_TRIES):
+            row = self._read_row(team, job_id)
+            job = from_plain(Job, row.value)
+            if job.state is not JobState.OPEN or job.cancel_requested:
+                return job
+            job = replace(job, cancel_requested=True)
+            update = Transaction(
+                (Expect(row.key, row.version),),
+                (
+                    Write(row.key, to_plain(job)),
+                    Write(keys.inbox(job.shard, job.id), {}),
+                ),
+            )
+            if isinstance(self._commit(update), Applied):
+                self._peers.nudge_inbox(job.shard)
+                return job
+        raise HubError(ErrorKind.UNAVAILABLE, "the job keeps changing; try again")
+
+    def _choose_shard(self, spec: JobSpec) -> str:
+        shards: dict[str, list[Host]] = {}
+        for host in self._hosts.hosts().values():
+            if host.kind == "worker":
+                name = shard_of(
+                    self._settings.region, host.zone, host.rack, self._settings.shards
+                )
+                shards.setdefault(name, []).append(host)
+        limit = self._configuration.current.teams[spec.team].limit
+        match judge(spec, shards, limit):
+            case NeverRunnable(reason):
+                raise HubError(ErrorKind.UNRUNNABLE, reason)
+            case RunnableIn(names):
+                summaries = self._peers.summaries()
+                return max(names, key=lambda n: self._appeal(summaries.get(n), spec))
+
+    def _appeal(self, summary: object, spec: JobSpec) -> tuple[float, float]:
+        """Return how well a shard suits: many free places, few jobs pending."""
+        if summary is None:
+            return (0.0, time.monotonic() % 1)
+        room = summary.free.times_contained(spec.size)
+        return (min(room, spec.tasks) - summary.pending, room)
+
+    def _earlier(self, job: Job) -> Job:
+        earlier = self.read(job.spec.team, job.id)
+        if earlier.digest != job.digest:
+            raise HubError(
+                ErrorKind.CONFLICT,
+                "this Idempotency-Key was used for a different job; use a new one",
+            )
+        return earlier
+
+    def _read_row(self, team: str, job_id: str) -> Row:
+        if not job_id.startswith(f"{team}."):
+            raise HubError(ErrorKind.NOT_FOUND, f"team {team} has no job {job_id!r}")
+        try:
+            rows = self._table.read(Keys((keys.job(job_id),)))[0]
+        except TableUnavailable as error:
+            raise _unavailable(error) from None
+        if not rows:
+            raise HubError(ErrorKind.NOT_FOUND, f"team {team} has no job {job_id!r}")
+        return rows[0]
+
+    def _commit(self, transaction: Transaction) -> Applied | Conflicted:
+        try:
+            return self._table.commit(transaction)
+        except TableUnavailable as error:
+            raise _unavailable(error) from None
+        except TableOutcomeUnknown:
+            raise HubError(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the table gave no answer; send it again with the same Idempotency-Key",
+            ) from None
+
+
+def _unavailable(error: TableUnavailable) -> HubError:
+    return HubError(ErrorKind.UNAVAILABLE, f"{error}; nothing was stored; try again")
--- /dev/null
+++ b/src/primrosehub/services/ops_http.py
@@ -0,0 +1,67 @@
+"""The operators' HTTP port of a daemon: metrics, health and readiness."""
+
+from __future__ import annotations
+
+import resource
+import time
+from collections.abc import Callable, Iterable
+from contextlib import ExitStack
+from typing import Any
+
+from gevent.pywsgi import WSGIServer
+
+from primrosehub.border.http_server import PromptHandler
+from primrosehub.kernel import Kernel
+from primrosehub.services.names import CONFIGURATION, MEMBERSHIP, METRICS
+
+_OPTIONS = {"log": None, "handler_class": PromptHandler}
+_TEXT = [("Content-Type", "text/plain; charset=utf-8")]
+
+
+class OpsServer:
+    """Serve /metrics, /healthz and /readyz."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._started_at = time.monotonic()
+
+    def start(self, stack: ExitStack) -> None:
+        """Listen until the stack closes."""
+        self._metrics: Any = self._kernel.find(METRICS)
+        self._configuration = self._kernel.find(CONFIGURATION)
+        self._membership = self._kernel.find(MEMBERSHIP)
+        address = self._kernel.settings.ops
+        server = WSGIServer((str(address.ip), address.port), self._answer, **_OPTIONS)
+        server.start()
+        stack.callback(server.stop, 1.0)
+
+    def _answer(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        match environ["PATH_INFO"]:
+            case "/healthz":
+                start_response("200 OK", _TEXT)
+                return [b"ok\n"]
+            case "/readyz":
+                ready = (
+                    self._configuration.trusted and not self._kernel.stopping.is_set()
+                )
+                start_response("200 OK" if ready else "503 Not ready", _TEXT)
+                return [b"ready\n" if ready else b"not ready\n"]
+            case "/metrics":
+                return self._render(environ, start_response)
+        start_response("404 Not Found", _TEXT)
+        return [b"use /metrics, /healthz or /readyz\n"]
+
+    def _render(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self._metrics.gauge("cpu_seconds", usage.ru_utime + usage.ru_stime)
+        self._metrics.gauge("max_memory_kib", usage.ru_maxrss)
+        self._metrics.gauge("uptime_seconds", time.monotonic() - self._started_at)
+        self._metrics.gauge("members_live", len(self._membership.view.live))
+        accepts = environ.get("HTTP_ACCEPT", "text/plain")
+        content, headers = self._metrics.render(accepts)
+        start_response("200 OK", list(headers.items()))
+        return [content]
--- /dev/null
+++ b/src/primrosehub/services/peers.py
@@ -0,0 +1,256 @@
+"""News between daemons: one task for each peer, over gRPC."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Mapping, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+
+import grpc
+from gevent.event import Event
+
+from primrosehub.border.codec import decode, encode
+from primrosehub.core.logs import log
+from primrosehub.core.members import Member, PeerNews, ShardSummary
+from primrosehub.kernel import Kernel
+from primrosehub.services.names import (
+    CONFIGURATION,
+    DISPATCH,
+    MEMBERSHIP,
+    METRICS,
+    TABLE,
+)
+
+METHOD = "/primrosehub.Peers/Exchange"
+CALL_TIMEOUT_S = 1.0
+STALE_TABLE_S = 1.5
+STALE_EXCHANGE_S = 1.0
+MAX_FAILURES_PER_CHANNEL = 2
+SERVER_THREADS = 16
+_OPTIONS = [
+    # A new channel must mean a new connection: an old one can be silent for good.
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.so_reuseport", 0),
+]
+
+
+@dataclass(slots=True)
+class PeerLink:
+    """Hold what passes between this daemon and one peer."""
+
+    address: str
+    name: str
+    wake: Event = field(default_factory=Event)
+    inbox_shards: set[str] = field(default_factory=set)
+    shards_changed: bool = False
+    sent: dict[str, ShardSummary] = field(default_factory=dict)
+    wants_summaries: bool = True
+    wants_config: bool = False
+    heard_at: float = float("-inf")
+    news: PeerNews | None = None
+    closed: bool = False
+
+
+class PeersService:
+    """Call each peer now and then, and answer when they call."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._settings = kernel.settings
+        self._links: dict[str, PeerLink] = {}
+        self._own: dict[str, ShardSummary] = {}
+        self._heard: dict[str, ShardSummary] = {}
+
+    def start(self, stack: ExitStack) -> None:
+        """Serve the exchange and keep one task for each known peer."""
+        self._configuration = self._kernel.find(CONFIGURATION)
+        self._membership = self._kernel.find(MEMBERSHIP)
+        self._metrics = self._kernel.find(METRICS)
+        self._table = self._kernel.find(TABLE)
+        self._tasks = self._kernel.tasks(stack)
+        self._serve(stack)
+        for seed in self._settings.seed_peers:
+            self._link(str(seed), "")
+        self._tasks.spawn("peers", self._follow_members)
+
+    def summaries(self) -> Mapping[str, ShardSummary]:
+        """Return the newest summary of each shard that was heard of."""
+        return self._heard | self._own
+
+    def publish(self, summaries: Sequence[ShardSummary]) -> None:
+        """Set the summaries of this daemon's own shards."""
+        self._own = {summary.shard: summary for summary in summaries}
+
+    def nudge_inbox(self, shard: str) -> None:
+        """Tell the owner of a shard at once that its inbox has changed."""
+        view = self._membership.view
+        owner = view.owners[shard][0].owner if shard in view.owners else ""
+        for member in view.live:
+            if member.incarnation == owner and member.peer_address in self._links:
+                link = self._links[member.peer_address]
+                link.inbox_shards.add(shard)
+                link.wake.set()
+
+    def nudge_shards(self) -> None:
+        """Tell every scheduler at once that shard rows have changed."""
+        for member in self._membership.view.live:
+            link = self._links.get(member.peer_address)
+            if link and member.role == "scheduler":
+                link.shards_changed = True
+                link.wake.set()
+
+    def heard(self, within_s: float) -> Sequence[PeerNews]:
+        """Return the last news of each peer heard within the time."""
+        now = time.monotonic()
+        return [
+            _aged(link.news, now - link.heard_at)
+            for link in self._links.values()
+            if link.news and now - link.heard_at <= within_s
+        ]
+
+    def _serve(self, stack: ExitStack) -> None:
+        server = grpc.server(
+            stack.enter_context(ThreadPoolExecutor(SERVER_THREADS)), options=_OPTIONS
+        )
+        handler = grpc.unary_unary_rpc_method_handler(
+            self._answer,
+            request_deserializer=lambda data: decode(PeerNews, data),
+            response_serializer=encode,
+        )
+        service, method = METHOD.lstrip("/").split("/")
+        server.add_generic_rpc_handlers(
+            (grpc.method_handlers_generic_handler(service, {method: handler}),)
+        )
+        server.add_insecure_port(str(self._settings.peer))
+        server.start()
+        stack.callback(lambda: server.stop(grace=0).wait())
+
+    def _answer(self, news: PeerNews, context: grpc.ServicerContext) -> PeerNews:
+        self._metrics.count("peer_calls_answered")
+        link = self._link_of_sender(news.sender)
+        if link is None:
+            return self._news(PeerLink("", ""))
+        if news.wants_summaries:
+            link.sent.clear()
+        self._take(link, news)
+        answer = self._news(link, with_config=news.wants_config)
+        link.sent.update({s.shard: s for s in answer.summaries})
+        return answer
+
+    def _link_of_sender(self, sender: str) -> PeerLink | None:
+        for member in self._membership.view.known:
+            if member.incarnation == sender:
+                return self._link(member.peer_address, member.name)
+        self._membership.refresh()
+        return None
+
+    def _follow_members(self) -> None:
+        number = 0
+        while True:
+            view = self._membership.next_view(number, self._settings.timing.renew_s)
+            number = view.number
+            for member in view.live:
+                self._link(member.peer_address, member.name)
+            self._drop_unknown(view.known)
+
+    def _drop_unknown(self, known: tuple[Member, ...]) -> None:
+        addresses = {member.peer_address for member in known}
+        addresses |= {str(seed) for seed in self._settings.seed_peers}
+        for address in set(self._links) - addresses:
+            link = self._links.pop(address)
+            link.closed = True
+            link.wake.set()
+
+    def _link(self, address: str, name: str) -> PeerLink:
+        if address not in self._links:
+            link = PeerLink(address, name)
+            self._links[address] = link
+            if address != str(self._settings.peer):
+                self._tasks.spawn(f"peer-{address}", self._talk, link)
+        return self._links[address]
+
+    def _talk(self, link: PeerLink) -> None:
+        """Talk to one peer until its link is closed."""
+        while not link.closed:
+            failures = 0
+            with grpc.insecure_channel(link.address, options=_OPTIONS) as channel:
+                call = channel.unary_unary(
+                    METHOD,
+                    request_serializer=encode,
+                    response_deserializer=lambda data: decode(PeerNews, data),
+                )
+                while failures < MAX_FAILURES_PER_CHANNEL and not link.closed:
+                    nudged = link.wake.wait(self._pause_s())
+                    link.wake.clear()
+                    if nudged or self._is_due(link):
+                        failures = 0 if self._exchange(link, call) else failures + 1
+
+    def _pause_s(self) -> float:
+        if self._table.age_s > STALE_TABLE_S:
+            return STALE_EXCHANGE_S
+        return self._settings.timing.exchange_s
+
+    def _is_due(self, link: PeerLink) -> bool:
+        """Tell whether this side calls: the lesser address does, while heard."""
+        if self._table.age_s > STALE_TABLE_S or str(self._settings.peer) < link.address:
+            return True
+        silent_s = time.monotonic() - link.heard_at
+        return silent_s > 2 * self._settings.timing.exchange_s
+
+    def _exchange(self, link: PeerLink, call: grpc.UnaryUnaryMultiCallable) -> bool:
+        news = self._news(link)
+        try:
+            answer = call(news, timeout=CALL_TIMEOUT_S)
+        except grpc.RpcError as error:
+            link.wants_summaries = True
+            log("peer_silent", peer=link.address, code=str(error.code()))
+            return False
+        self._metrics.count("peer_calls_made")
+        link.inbox_shards.difference_update(news.inbox_shards)
+        link.shards_changed = False
+        link.wants_summaries = False
+        link.wants_config = False
+        link.sent.update({s.shard: s for s in news.summaries})
+        self._take(link, answer)
+        return True
+
+    def _news(self, link: PeerLink, with_config: bool = False) -> PeerNews:
+        config = self._configuration.current
+        return PeerNews(
+            sender=self._membership.me.incarnation,
+            config_version=config.version,
+            table_age_s=min(self._table.age_s, 86400.0),
+            summaries=tuple(
+                s for s in self._own.values() if link.sent.get(s.shard) != s
+            ),
+            inbox_shards=tuple(link.inbox_shards),
+            shards_changed=link.shards_changed,
+            wants_summaries=link.wants_summaries,
+            wants_config=link.wants_config,
+            config_text=config.text if with_config else "",
+        )
+
+    def _take(self, link: PeerLink, news: PeerNews) -> None:
+        link.news = news
+        link.heard_at = time.monotonic()
+        for summary in news.summaries:
+            known = self._heard.get(summary.shard)
+            if known is None or known.epoch <= summary.epoch:
+                self._heard[summary.shard] = summary
+        if news.config_text:
+            self._configuration.offer(news.config_version, news.config_text)
+        elif news.config_version > self._configuration.current.version:
+            self._configuration.check_now()
+            link.wants_config = True
+            link.wake.set()
+        if news.shards_changed:
+            self._membership.refresh()
+        if self._kernel.has(DISPATCH):
+            for shard in news.inbox_shards:
+                self._kernel.find(DISPATCH).inbox_changed(shard)
+
+
+def _aged(news: PeerNews, age_s: float) -> PeerNews:
+    return PeerNews(news.sender, news.config_version, news.table_age_s + age_s)
--- /dev/null
+++ b/src/primrosehub/services/shards.py
@@ -0,0 +1,200 @@
+"""Shards: which daemon may act for which worker hosts, by epochs in the table."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from contextlib import ExitStack
+from dataclasses import dataclass
+
+from primrosehub.border.codec import to_plain
+from primrosehub.core import keys
+from primrosehub.core.logs import log
+from primrosehub.core.members import Member, ShardOwner
+from primrosehub.core.rendezvous import choose, shard_names
+from primrosehub.core.table import (
+    ABSENT,
+    Applied,
+    Conflicted,
+    Expect,
+    TableOutcomeUnknown,
+    TableUnavailable,
+    Transaction,
+    Write,
+)
+from primrosehub.kernel import Kernel
+from primrosehub.services.names import (
+    DISPATCH,
+    MEMBERSHIP,
+    METRICS,
+    PEERS,
+    TABLE,
+    CellView,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Leave the shard as it is."""
+
+
+@dataclass(frozen=True, slots=True)
+class Take:
+    """Take the shard over with a higher epoch."""
+
+    epoch: int
+    version: int
+    released: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Hand the shard over to the daemon that should own it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """Stop acting: the table names another owner or epoch."""
+
+
+Step = Keep | Take | Release | Drop
+
+
+def next_step(
+    row: tuple[ShardOwner, int] | None,
+    shard: str,
+    me: Member,
+    live: tuple[Member, ...],
+    held_epoch: int | None,
+) -> Step:
+    """Decide what this daemon does about one shard."""
+    schedulers = {m.name: m for m in live if m.role == "scheduler" and not m.leaving}
+    wanted = schedulers.get(choose(schedulers, shard) or "")
+    mine = wanted is not None and wanted.incarnation == me.incarnation
+    owner, version = row or (ShardOwner("", 0), ABSENT)
+    if owner.owner == me.incarnation:
+        if held_epoch != owner.epoch:
+            return Take(owner.epoch + 1, version, released=False)
+        return Keep() if mine or wanted is None else Release()
+    if held_epoch is not None:
+        return Drop()
+    owner_lives = any(m.incarnation == owner.owner for m in live)
+    if mine and not owner_lives:
+        return Take(owner.epoch + 1, version, released=not owner.owner)
+    return Keep()
+
+
+class ShardsService:
+    """Take, keep and hand over shards as the view of the cell changes."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._settings = kernel.settings
+        self._held: dict[str, int] = {}
+        self._written: dict[str, int] = {}
+        self._leaving = False
+
+    def start(self, stack: ExitStack) -> None:
+        """Check the layout, then follow the view."""
+        self._dispatch = self._kernel.find(DISPATCH)
+        self._membership = self._kernel.find(MEMBERSHIP)
+        self._metrics = self._kernel.find(METRICS)
+        self._peers = self._kernel.find(PEERS)
+        self._table = self._kernel.find(TABLE)
+        self._kernel.tasks(stack).spawn("shards", self._run)
+
+    def release_all(self) -> None:
+        """Hand over all shards."""
+        self._leaving = True
+        for shard in list(self._held):
+            self._release(shard, self._membership.view)
+        self._peers.nudge_shards()
+
+    def _run(self) -> None:
+        self._check_layout()
+        number = 0
+        while True:
+            view = self._membership.next_view(number, self._settings.timing.renew_s)
+            if view.number == number or self._leaving:
+                continue
+            number = view.number
+            for shard in shard_names(self._settings.region, self._settings.shards):
+                self._follow(shard, view)
+            self._metrics.gauge("shards_held", len(self._held))
+
+    def _check_layout(self) -> None:
+        """Refuse to run with another number of shards than the cell has."""
+        key = keys.layout(self._settings.region)
+        layout = {"shards": self._settings.shards}
+        insert = Transaction((Expect(key, ABSENT),), (Write(key, layout),))
+        while True:
+            try:
+                if isinstance(self._table.commit(insert), Applied):
+                    return
+                stored = self._table.read_all(key)[0].value
+                break
+            except (TableUnavailable, TableOutcomeUnknown) as error:
+                log("layout_not_checked", reason=str(error))
+        if stored != layout:
+            raise ValueError(
+                f"this cell has {stored['shards']} shards; set 'shards' in the "
+                f"settings to that, not to {layout['shards']}"
+            )
+
+    def _follow(self, shard: str, view: CellView) -> None:
+        row = view.owners.get(shard)
+        if (row[1] if row else ABSENT) < self._written.get(shard, ABSENT):
+            # The view was read before this daemon's own last write.
+            return
+        held = self._held.get(shard)
+        match next_step(row, shard, self._membership.me, view.live, held):
+            case Keep():
+                return
+            case Take(epoch, version, released):
+                self._take(shard, epoch, version, released)
+            case Release():
+                self._release(shard, view)
+                self._peers.nudge_shards()
+            case Drop():
+                log("shard_lost", shard=shard)
+                self._stop_acting(shard)
+
+    def _take(self, shard: str, epoch: int, version: int, released: bool) -> None:
+        self._stop_acting(shard)
+        owner = ShardOwner(self._membership.me.incarnation, epoch)
+        outcome = self._write(shard, owner, version)
+        match outcome:
+            case Applied(new_version):
+                self._held[shard] = epoch
+                log("shard_taken", shard=shard, epoch=epoch)
+                self._metrics.count("shards_taken")
+                self._dispatch.acquire(shard, epoch, new_version, released)
+            case Conflicted() | None:
+                self._membership.refresh()
+
+    def _release(self, shard: str, view: CellView) -> None:
+        epoch = self._held[shard]
+        self._stop_acting(shard)
+        row: Mapping[str, tuple[ShardOwner, int]] = view.owners
+        if shard in row and row[shard][0].epoch == epoch:
+            self._write(shard, ShardOwner("", epoch), row[shard][1])
+            log("shard_released", shard=shard, epoch=epoch)
+
+    def _stop_acting(self, shard: str) -> None:
+        if self._held.pop(shard, None) is not None:
+            self._dispatch.release(shard)
+
+    def _write(
+        self, shard: str, owner: ShardOwner, version: int
+    ) -> Applied | Conflicted | None:
+        key = keys.shard(shard)
+        transaction = Transaction(
+            (Expect(key, version),), (Write(key, to_plain(owner)),)
+        )
+        try:
+            outcome = self._table.commit(transaction)
+            if isinstance(outcome, Applied):
+                self._written[shard] = outcome.version
+            return outcome
+        except (TableUnavailable, TableOutcomeUnknown) as error:
+            log("shard_not_written", shard=shard, reason=str(error))
+            return None
--- /dev/null
+++ b/src/primrosehub_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, worker hosts and backend servers."""
