Learn of ended attempts at once and spread new jobs by room

Cause: two-second tasks took 8 to 16 s to settle, since an end was learned only at the next periodic synchronization; and all entry daemons sent all new jobs to the one shard whose summary showed the most room.

Ruled out: a shorter period, whose bytes grow with the fleet and not with the work.

Change: a second connection to each worker host waits for a hint that an attempt has ended, and the owner then synchronizes. A new job goes to a shard with a chance in proportion to its room, less what this daemon sent there since the summary.

A wave of all-at-once jobs still waits for room in its shard.

--- a/src/primrosehub/core/platform.py
+++ b/src/primrosehub/core/platform.py
@@ -63,6 +63,13 @@
     outcome: Outcome
 
 
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Count the attempts that have ended on a worker host since it started."""
+
+    ends: int
+
+
 @dataclass(frozen=True, slots=True)
 class SyncReply:
     """Report what the worker host runs and has finished.
--- a/src/primrosehub/services/_shard_run.py
+++ b/src/primrosehub/services/_shard_run.py
@@ -583,6 +583,7 @@
         )
         self._sessions[host.name] = session
         self._tasks.spawn(f"worker-{host.name}", session.run)
+        self._tasks.spawn(f"watch-{host.name}", session.watch)
 
     def _may_renew(self) -> bool:
         confirmed_at = self._with.membership.view.confirmed_at
--- a/src/primrosehub/services/_worker_session.py
+++ b/src/primrosehub/services/_worker_session.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import gevent
 from gevent.event import Event
 from pydantic import ValidationError
 
@@ -13,10 +14,11 @@
 from primrosehub.border.http_client import HttpEndpoint, NoAnswer, NotSent
 from primrosehub.border.settings import Timing
 from primrosehub.core.logs import log
-from primrosehub.core.platform import Host, StartTask, SyncReply, SyncRequest
+from primrosehub.core.platform import Changes, Host, StartTask, SyncReply, SyncRequest
 from primrosehub.core.work import TaskRef
 
 SYNC_TIMEOUT_S = 2.0
+WATCH_S = 25.0
 RETRY_S = 1.0
 MAX_ORDERS_PER_SYNC = 200
 _HEADERS = (("Content-Type", "application/json"),)
@@ -87,6 +89,35 @@
         finally:
             endpoint.close()
 
+    def watch(self) -> None:
+        """Synchronize as soon as the worker host says that an attempt has ended.
+
+        This second connection carries only that hint: losing it, or a hint that
+        is late or doubled, costs no more than a period.
+        """
+        endpoint = HttpEndpoint(self.host.ip, self.host.port, max_idle=1)
+        ends = 0
+        try:
+            while not self.closed:
+                seen = self._wait_for_change(endpoint, ends)
+                if seen is None:
+                    gevent.sleep(self.timing.sync_s)
+                elif seen != ends:
+                    ends = seen
+                    self.wake()
+        finally:
+            endpoint.close()
+
+    def _wait_for_change(self, endpoint: HttpEndpoint, ends: int) -> int | None:
+        target = f"/v1/changes?after={ends}&wait_s={WATCH_S:g}"
+        try:
+            response = endpoint.exchange(
+                "GET", target, timeout_s=WATCH_S + SYNC_TIMEOUT_S
+            )
+            return decode(Changes, response.body).ends
+        except (NotSent, NoAnswer, ValidationError):
+            return None
+
     def _sync(self, endpoint: HttpEndpoint) -> bool:
         request = self._request()
         if request.token is not None:
--- a/src/primrosehub/services/jobs.py
+++ b/src/primrosehub/services/jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import random
 import time
 from contextlib import ExitStack
 from dataclasses import replace
@@ -10,8 +11,10 @@
 from primrosehub.border.codec import encode, from_plain, to_plain
 from primrosehub.core import keys
 from primrosehub.core.errors import ErrorKind, HubError
+from primrosehub.core.members import ShardSummary
 from primrosehub.core.platform import Host
 from primrosehub.core.rendezvous import shard_of
+from primrosehub.core.resources import NOTHING, Resources
 from primrosehub.core.table import (
     ABSENT,
     Applied,
@@ -26,6 +29,7 @@
 from primrosehub.core.work import Job, JobSpec, JobState, Task
 from primrosehub.kernel import Kernel
 from primrosehub.policy.runnable import NeverRunnable, RunnableIn, judge
+from primrosehub.policy.spreading import choose_by_room
 from primrosehub.services.names import (
     CONFIGURATION,
     HOST_LIST,
@@ -45,6 +49,9 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._settings = kernel.settings
+        self._random = random.Random()
+        self._seen: dict[str, ShardSummary] = {}
+        self._sent: dict[str, Resources] = {}
 
     def start(self, stack: ExitStack) -> None:
         """Look up the services that jobs need."""
@@ -127,15 +134,23 @@
             case NeverRunnable(reason):
                 raise HubError(ErrorKind.UNRUNNABLE, reason)
             case RunnableIn(names):
-                summaries = self._peers.summaries()
-                return max(names, key=lambda n: self._appeal(summaries.get(n), spec))
+                rooms = {name: self._room(name, spec) for name in names}
+                shard = choose_by_room(rooms, self._random.random())
+                self._sent[shard] = self._sent.get(shard, NOTHING) + spec.size * (
+                    spec.tasks
+                )
+                return shard
 
-    def _appeal(self, summary: object, spec: JobSpec) -> tuple[float, float]:
-        """Return how well a shard suits: many free places, few jobs pending."""
+    def _room(self, shard: str, spec: JobSpec) -> float:
+        """Return how many such tasks a shard has room for, less what was sent there."""
+        summary = self._peers.summaries().get(shard)
         if summary is None:
-            return (0.0, time.monotonic() % 1)
-        room = summary.free.times_contained(spec.size)
-        return (min(room, spec.tasks) - summary.pending, room)
+            return 1.0
+        if self._seen.get(shard) is not summary:
+            self._seen[shard] = summary
+            self._sent[shard] = NOTHING
+        left = summary.free - self._sent.get(shard, NOTHING)
+        return float(left.times_contained(spec.size) - summary.pending)
 
     def _earlier(self, job: Job) -> Job:
         earlier = self.read(job.spec.team, job.id)
--- a/src/primrosehub_standins/worker.py
+++ b/src/primrosehub_standins/worker.py
@@ -6,8 +6,10 @@
 import uuid
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import parse_qs
 
 import gevent
+from gevent.event import Event
 
 from primrosehub_standins.journal import Journal
 from primrosehub_standins.web import Cut, Hang, Start, json_of, reply_json
@@ -29,6 +31,8 @@
         self._capacity = capacity
         self._journal = journal
         self._mute = self._cut = self._fails_all = False
+        self._ends = 0
+        self._ended = Event()
         self._start_over()
         gevent.spawn(self._watch_lease)
 
@@ -42,12 +46,13 @@
             if fault.get("restart"):
                 self._restart()
             return reply_json(start, {})
-        request = json_of(environ)
         if self._mute:
             raise Hang
         if self._cut:
             raise Cut
-        reply = self.sync(request)
+        if environ["PATH_INFO"] == "/v1/changes":
+            return reply_json(start, self._wait_for_change(environ["QUERY_STRING"]))
+        reply = self.sync(json_of(environ))
         if self._mute or self._cut:
             raise Cut
         return reply_json(start, reply)
@@ -73,6 +78,13 @@
             self._finished.pop(_ref(item), None)
         return self._report()
 
+    def _wait_for_change(self, query: str) -> dict[str, int]:
+        """Return the number of ends so far, once it differs from the caller's."""
+        asked = parse_qs(query)
+        if self._ends == int(asked["after"][0]):
+            self._ended.wait(float(asked["wait_s"][0]))
+        return {"ends": self._ends}
+
     def _start_over(self) -> None:
         self._incarnation = uuid.uuid4().hex[:8]
         self._born_ms = _now_ms()
@@ -95,6 +107,7 @@
         size = item["size"]
         if not fresh or not self._fits(size):
             self._finished[ref] = "refused"
+            self._note_end()
             self._journal.write("refuse", host=self._name, ref=ref)
             return
         used = self._used()
@@ -125,6 +138,12 @@
             running.timer.kill(block=False)
         self._finished[ref] = outcome
         self._journal.write("end", host=self._name, ref=ref, outcome=outcome)
+        self._note_end()
+
+    def _note_end(self) -> None:
+        self._ends += 1
+        self._ended.set()
+        self._ended.clear()
 
     def _watch_lease(self) -> None:
         while True:
