Restore the shard's state module

Change: the module as it was.

The guard's test fails without it: without the shard's row among the expectations, test_an_owner_that_lost_its_shard_writes_nothing fails; with it, testing/protocol passes.

--- a/src/primrosehub/services/_shard_state.py
+++ b/src/primrosehub/services/_shard_state.py
@@ -1,196 +1,126 @@
-"""Send HTTP requests over connections whose reuse is under our control.
-
-The client class of geventhttpclient sends a request again when a reused
-connection turns out closed. That breaks at-most-once, so only its response
-parser is used here and each exchange is sent exactly once.
-"""
+"""The jobs of one shard: committed rows, and the changes drafted on top of them."""
 
 from __future__ import annotations
 
-import select as blocking_select
-from collections.abc import Callable, Iterable
+from collections import defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-import gevent
-from gevent import monkey, socket
-from geventhttpclient.response import (
-    HTTPParseError,
-    HTTPProtocolViolationError,
-    HTTPResponse,
-)
-
-_READ_BLOCK_BYTES = 16384
-_MAX_ANSWER_BYTES = 8 * 1024 * 1024
-_FIRST_FINAL_STATUS = 200
-_poll = monkey.get_original("select", "poll")
-
+from primrosehub.border.codec import from_plain, to_plain
+from primrosehub.core import keys
+from primrosehub.core.resources import NOTHING, Resources
+from primrosehub.core.table import Expect, Row, Transaction, Write
+from primrosehub.core.work import Job, JobState, Task, TaskRef, TaskState
 
-class NotSent(Exception):
-    """Say that no byte of the request left, so that it surely did not run."""
 
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """Hold a job as committed; ``listed`` tells whether its open row exists."""
 
-class NoAnswer(Exception):
-    """Say that the request was sent, at least in part, and no whole answer came."""
-
-
-@dataclass(slots=True)
-class Response:
-    """Hold a whole answer."""
-
-    status: int
-    headers: list[tuple[str, str]]
-    body: bytes
-
-    def header(self, name: str) -> str:
-        """Return the value of a header, or an empty string."""
-        for key, value in self.headers:
-            if key.lower() == name.lower():
-                return value
-        return ""
-
-
-def encode_request(
-    method: str,
-    target: str,
-    host: str,
-    headers: Iterable[tuple[str, str]] = (),
-    body: bytes = b"",
-) -> bytes:
-    """Return the bytes of an HTTP/1.1 request."""
-    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
-    lines += [f"{name}: {value}" for name, value in headers]
-    if body or method in ("POST", "PUT", "PATCH"):
-        lines.append(f"Content-Length: {len(body)}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+    job: Job
+    version: int
+    listed: bool
 
 
 @dataclass(slots=True)
-class HttpEndpoint:
-    """Keep idle connections to one address and lend each to one exchange.
-
-    ``meter`` is told the bytes of each exchange, sent and received.
-    """
-
-    ip: str
-    port: int
-    max_idle: int = 8
-    meter: Callable[[int], None] | None = None
-    _idle: list[socket.socket] = field(default_factory=list)
-
-    @property
-    def address(self) -> str:
-        """Return the address as written in a Host header."""
-        return f"{self.ip}:{self.port}"
-
-    def close(self) -> None:
-        """Close the idle connections."""
-        while self._idle:
-            self._idle.pop().close()
-
-    def exchange(
-        self,
-        method: str,
-        target: str,
-        headers: Iterable[tuple[str, str]] = (),
-        body: bytes = b"",
-        *,
-        timeout_s: float,
-        fresh: bool = False,
-    ) -> Response:
-        """Send once and return the whole answer; raise NotSent or NoAnswer.
-
-        ``fresh`` opens a new connection, so that a stale one is no doubt.
-        """
-        request = encode_request(method, target, self.address, headers, body)
-        limit = gevent.Timeout.start_new(timeout_s)
-        try:
-            sock = self._connect(fresh, limit)
-            return self._send(sock, request, method, limit)
-        finally:
-            limit.close()
-
-    def _connect(self, fresh: bool, limit: gevent.Timeout) -> socket.socket:
-        while self._idle and not fresh:
-            sock = self._idle.pop()
-            if _is_quiet(sock):
-                return sock
-            sock.close()
-        try:
-            sock = socket.create_connection((self.ip, self.port))
-        except gevent.Timeout as timeout:
-            if timeout is not limit:
-                raise
-            raise NotSent(f"{self.address}: no connection in time") from None
-        except OSError as error:
-            raise NotSent(f"{self.address}: {error.strerror}") from None
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return sock
-
-    def _send(
-        self, sock: socket.socket, request: bytes, method: str, limit: gevent.Timeout
-    ) -> Response:
-        reusable = False
-        try:
-            sock.sendall(request)
-            parser = _read_answer(sock, method)
-            if self.meter:
-                self.meter(len(request) + parser.received_bytes)
-            reusable = parser.should_keep_alive()
-            return Response(
-                parser.status_code, list(parser.items()), b"".join(parser.parts)
-            )
-        except gevent.Timeout as timeout:
-            if timeout is not limit:
-                raise
-            raise NoAnswer(f"{self.address}: no answer in time") from None
-        except (OSError, HTTPParseError) as error:
-            raise NoAnswer(f"{self.address}: {error}") from None
-        finally:
-            if reusable and len(self._idle) < self.max_idle:
-                self._idle.append(sock)
+class Draft:
+    """Collect changed jobs, and inbox rows that they settle, until committed."""
+
+    jobs: dict[str, Job] = field(default_factory=dict)
+    inbox: dict[str, Row] = field(default_factory=dict)
+
+    def __bool__(self) -> bool:
+        return bool(self.jobs or self.inbox)
+
+
+class ShardState:
+    """Know every open job of a shard and what its tasks take on each worker host."""
+
+    def __init__(self, shard: str) -> None:
+        self.shard = shard
+        self.entries: dict[str, Entry] = {}
+        self._by_host: dict[str, dict[TaskRef, Task]] = defaultdict(dict)
+
+    def put(self, entry: Entry) -> None:
+        """Take over a committed job."""
+        self.drop(entry.job.id)
+        self.entries[entry.job.id] = entry
+        for task in entry.job.tasks:
+            if task.state is TaskState.ASSIGNED:
+                self._by_host[task.host][entry.job.ref(task)] = task
+
+    def put_row(self, row: Row, listed: bool) -> Job:
+        """Take over a job as read from the table."""
+        job = from_plain(Job, row.value)
+        self.put(Entry(job, row.version, listed))
+        return job
+
+    def drop(self, job_id: str) -> None:
+        """Forget a job."""
+        entry = self.entries.pop(job_id, None)
+        if entry is None:
+            return
+        for task in entry.job.tasks:
+            if task.state is TaskState.ASSIGNED:
+                self._by_host[task.host].pop(entry.job.ref(task), None)
+
+    def assigned_to(self, host: str) -> dict[TaskRef, Task]:
+        """Return the attempts assigned to a worker host."""
+        return self._by_host.get(host, {})
+
+    def hosts_in_use(self) -> set[str]:
+        """Return the worker hosts that have an attempt assigned."""
+        return {host for host, refs in self._by_host.items() if refs}
+
+    def used_on(self, host: str) -> Resources:
+        """Return what the attempts assigned to a worker host take there."""
+        used = NOTHING
+        for ref in self.assigned_to(host):
+            used += self.entries[ref.job].job.spec.size
+        return used
+
+    def used_by_team(self) -> dict[str, Resources]:
+        """Return what each team's assigned attempts take in this shard."""
+        used: dict[str, Resources] = defaultdict(Resources)
+        for refs in self._by_host.values():
+            for ref in refs:
+                spec = self.entries[ref.job].job.spec
+                used[spec.team] += spec.size
+        return dict(used)
+
+    def pending(self) -> Iterator[Job]:
+        """Return the open jobs that have a task to place."""
+        for entry in self.entries.values():
+            if any(task.state is TaskState.PENDING for task in entry.job.tasks):
+                yield entry.job
+
+    def transaction(self, draft: Draft, shard_row: Expect) -> Transaction:
+        """Return the transaction that commits a draft under this ownership."""
+        expects = [shard_row]
+        writes: list[Write] = []
+        for job in draft.jobs.values():
+            entry = self.entries[job.id]
+            expects.append(Expect(keys.job(job.id), entry.version))
+            writes.append(Write(keys.job(job.id), to_plain(job)))
+            writes.extend(self._listing(job, entry.listed))
+        for row in draft.inbox.values():
+            expects.append(Expect(row.key, row.version))
+            writes.append(Write(row.key, None))
+        return Transaction(tuple(expects), tuple(writes))
+
+    def _listing(self, job: Job, listed: bool) -> Iterator[Write]:
+        wanted = job.state is JobState.OPEN and job.shard == self.shard
+        if wanted and not listed:
+            yield Write(keys.open_job(self.shard, job.id), {})
+        if listed and not wanted:
+            yield Write(keys.open_job(self.shard, job.id), None)
+        if job.shard != self.shard:
+            yield Write(keys.inbox(job.shard, job.id), {})
+
+    def committed(self, draft: Draft, version: int) -> None:
+        """Take over a draft whose transaction was applied."""
+        for job in draft.jobs.values():
+            if job.state is JobState.OPEN and job.shard == self.shard:
+                self.put(Entry(job, version, listed=True))
             else:
-                sock.close()
-
-
-class _AnswerParser(HTTPResponse):
-    """Collect one final answer and refuse bytes that follow it."""
-
-    def __init__(self, method: str) -> None:
-        super().__init__(method)
-        self.parts: list[bytes] = []
-        self.size_bytes = 0
-        self.received_bytes = 0
-        self.final = False
-
-    def _on_message_begin(self) -> None:
-        if self.final:
-            raise HTTPProtocolViolationError("bytes follow the answer")
-        super()._on_message_begin()
-
-    def _on_message_complete(self) -> None:
-        super()._on_message_complete()
-        self.final = self.get_code() >= _FIRST_FINAL_STATUS
-
-    def _on_body(self, buf: bytearray) -> None:
-        self.size_bytes += len(buf)
-        self.parts.append(bytes(buf))
-
-
-def _read_answer(sock: socket.socket, method: str) -> _AnswerParser:
-    parser = _AnswerParser(method)
-    while not parser.final:
-        data = sock.recv(_READ_BLOCK_BYTES)
-        parser.received_bytes += len(data)
-        parser.feed(data)
-        if not data and not parser.final:
-            raise ConnectionError("the connection closed before the answer's end")
-        if parser.size_bytes > _MAX_ANSWER_BYTES:
-            raise ConnectionError(f"the answer is over {_MAX_ANSWER_BYTES} bytes")
-    return parser
-
-
-def _is_quiet(sock: socket.socket) -> bool:
-    """Tell whether an idle connection is open and holds no stray bytes."""
-    poller = _poll()
-    poller.register(sock.fileno(), blocking_select.POLLIN)
-    return not poller.poll(0)
+                self.drop(job.id)
