Specify the protocol and explore it; let a fence end the wait for a predecessor

Cause: nothing showed that ownership, leases and grants hold in every order of events.

Found by exploring model/ownership.py: - An owner that had fenced a worker host went on waiting blind_s (900 s) for its predecessor before a lease there could lapse.

--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""A specification of ownership, assignment and grants, and its exploration."""
--- /dev/null
+++ b/model/check.py
@@ -0,0 +1,98 @@
+"""Explore the specifications, whole and with each guard taken out."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Hashable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import fields, replace
+from functools import partial
+from types import ModuleType
+
+import defopt
+
+from model import grants, ownership
+from model.explore import Explored, explore
+
+SPECIFICATIONS: tuple[ModuleType, ...] = (ownership, grants)
+
+
+def check(spec: ModuleType, number: int, whole: bool, without: str | None) -> Explored:
+    """Return what exploring one scope finds, with a guard taken out if named."""
+    scope = spec.SCOPES[number]
+    guards = spec.Guards(scope)
+    if without:
+        guards = replace(guards, **{without: False})
+    max_depth = sys.maxsize if whole else scope.max_depth
+    next_steps = partial(_next_steps, spec, guards)
+    return explore(scope.initial(), next_steps, spec.broken, max_depth)
+
+
+def _next_steps(spec: ModuleType, guards: object, state: Hashable) -> object:
+    return spec.steps(state, guards)
+
+
+def guard_names(spec: ModuleType) -> list[str]:
+    """Return the names of a specification's guards."""
+    return [f.name for f in fields(spec.Guards) if f.name != "scope"]
+
+
+def _check_scope(module: str, number: int, whole: bool) -> Explored:
+    return check(sys.modules[module], number, whole, None)
+
+
+def _check_without(module: str, guard: str) -> Explored:
+    """Return the first violation that any scope has without the guard."""
+    spec = sys.modules[module]
+    found = Explored(0)
+    for number in range(len(spec.SCOPES)):
+        found = check(spec, number, False, guard)
+        if found.violation:
+            break
+    return found
+
+
+def report_scope(name: str, scope: object, found: Explored) -> bool:
+    """Print what exploring a scope found; tell if all holds."""
+    extent = "all states" if found.whole else f"all within {scope.max_depth} steps"
+    verdict = found.violation or "all promises hold"
+    print(f"{name}: {found.states} states, {extent}: {verdict}")
+    print(f"    {replace(scope, prefix=scope.prefix[-1:])}")
+    for line in found.trace:
+        print(f"    {line}")
+    return found.violation is None
+
+
+def report_guard(name: str, found: Explored) -> bool:
+    """Print what exploring without a guard found; tell if the guard is needed."""
+    told = f"{found.violation}, {len(found.trace)} steps"
+    print(f"  without {name}: {told if found.violation else 'NOT FOUND'}")
+    return found.violation is not None
+
+
+def main(*, whole: bool = False) -> int:
+    """Explore the specifications' scopes, and again with each guard taken out.
+
+    :param whole: explore all states, which takes some minutes
+    """
+    good = True
+    started = time.monotonic()
+    with ProcessPoolExecutor() as pool:
+        for spec in SPECIFICATIONS:
+            module, numbers = spec.__name__, range(len(spec.SCOPES))
+            runs = [pool.submit(_check_scope, module, n, whole) for n in numbers]
+            mutated = {
+                name: pool.submit(_check_without, module, name)
+                for name in guard_names(spec)
+            }
+            for scope, run in zip(spec.SCOPES, runs, strict=True):
+                good &= report_scope(module, scope, run.result())
+            for name, run in mutated.items():
+                good &= report_guard(name, run.result())
+    print(f"{time.monotonic() - started:.1f} s")
+    return 0 if good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(main))
--- /dev/null
+++ b/model/explore.py
@@ -0,0 +1,59 @@
+"""Visit every state of a specification, breadth first."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Hashable, Iterable
+from dataclasses import dataclass
+
+Step = tuple[str, Hashable]
+
+
+@dataclass(frozen=True, slots=True)
+class Explored:
+    """Hold how many states were visited, and the trace to a violation if any."""
+
+    states: int
+    whole: bool = True
+    violation: str | None = None
+    trace: tuple[str, ...] = ()
+
+
+def explore(
+    initial: Hashable,
+    steps: Callable[[Hashable], Iterable[Step]],
+    broken: Callable[[Hashable], str | None],
+    max_depth: int,
+) -> Explored:
+    """Return the shortest trace to a broken promise, or the count of states.
+
+    States more than ``max_depth`` steps from the first are not visited.
+    """
+    came_from: dict[Hashable, tuple[Hashable, str] | None] = {initial: None}
+    frontier = [initial]
+    depth = 0
+    while frontier and depth <= max_depth:
+        depth += 1
+        following = []
+        for state in frontier:
+            violation = broken(state)
+            if violation:
+                trace = _trace(came_from, state)
+                return Explored(len(came_from), False, violation, trace)
+            for name, successor in steps(state):
+                if successor not in came_from:
+                    came_from[successor] = (state, name)
+                    following.append(successor)
+        frontier = following
+    return Explored(len(came_from), whole=not frontier)
+
+
+def _trace(
+    came_from: dict[Hashable, tuple[Hashable, str] | None], state: Hashable
+) -> tuple[str, ...]:
+    names = []
+    origin = came_from[state]
+    while origin is not None:
+        state, name = origin
+        names.append(name)
+        origin = came_from[state]
+    return tuple(reversed(names))
--- /dev/null
+++ b/model/ownership.py
@@ -0,0 +1,436 @@
+"""Who may act, and where a task runs: 2 owners, 2 worker hosts, 1 or 2 tasks.
+
+Time is counted in ticks. Any owner may act late or never, which covers pauses and
+outages; a message may be lost, late or doubled; a reply may be lost after its effect.
+Each scope is explored whole by itself, since all of them at once are too many states.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import NamedTuple
+
+LEASE = 2
+MAX_EPOCH = 2
+MAX_MESSAGES = 1
+NO_TOKEN = -1
+
+PENDING, ASSIGNED, DONE, UNKNOWN = "pending", "assigned", "done", "unknown"
+
+
+class Task(NamedTuple):
+    """Hold a task's row."""
+
+    state: str = PENDING
+    attempt: int = 0
+    host: int = -1
+    host_incarnation: int = 0
+
+
+class StartTask(NamedTuple):
+    """Order one attempt."""
+
+    task: int
+    attempt: int
+    host_incarnation: int
+
+
+class SyncRequest(NamedTuple):
+    """Hold a message on its way to a worker host; the token is known by its age."""
+
+    epoch: int
+    host: int
+    token_age: int
+    token_incarnation: int
+    start: StartTask | None
+
+
+class Host(NamedTuple):
+    """Hold a worker host: remaining ticks of its lease, what it runs and has seen."""
+
+    epoch: int = 0
+    lease: int = 0
+    incarnation: int = 0
+    running: frozenset[tuple[int, int]] = frozenset()
+    seen: frozenset[tuple[int, int]] = frozenset()
+
+
+class Session(NamedTuple):
+    """Hold an owner's side of a worker host; ``free_in`` ticks until it has lapsed."""
+
+    fenced: bool = False
+    token_age: int = NO_TOKEN
+    token_incarnation: int = 0
+    free_in: int = 0
+    starts: frozenset[StartTask] = frozenset()
+
+
+class Owner(NamedTuple):
+    """Hold an owner: its epoch, 0 for none, and ticks since its last table read."""
+
+    epoch: int = 0
+    blind: int = 0
+    sessions: tuple[Session, Session] = (Session(), Session())
+
+
+class State(NamedTuple):
+    """Hold everything; ``starts`` counts those of tasks that are not idempotent.
+
+    Owner 0 has taken over first; that it is so costs nothing, as owners are alike.
+    """
+
+    epoch: int = 1
+    tasks: tuple[Task, ...] = (Task(),)
+    hosts: tuple[Host, Host] = (Host(), Host())
+    owners: tuple[Owner, Owner] = (Owner(epoch=1), Owner())
+    messages: frozenset[SyncRequest] = frozenset()
+    starts: tuple[int, ...] = (0,)
+
+
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """Bound an exploration; ``idempotent`` has an entry for each task.
+
+    ``blind`` is how many ticks an owner acts without a read of the table, and
+    ``prefix`` names the steps that lead to the state to start from.
+    """
+
+    idempotent: tuple[bool, ...]
+    max_attempt: int
+    max_restarts: int
+    max_depth: int
+    blind: int = 1
+    prefix: tuple[str, ...] = ()
+
+    def initial(self) -> State:
+        """Return the state after the prefix."""
+        count = len(self.idempotent)
+        state = State(tasks=(Task(),) * count, starts=(0,) * count)
+        for name in self.prefix:
+            state = dict(steps(state, Guards(self)))[name]
+        return state
+
+
+FENCED = (
+    "owner 0 sends SyncRequest to host 0",
+    "host 0 takes SyncRequest of epoch 1, SyncReply to owner 0",
+    "owner 0 sends SyncRequest to host 1",
+    "host 1 takes SyncRequest of epoch 1, SyncReply to owner 0",
+)
+RUNNING = (
+    *FENCED,
+    "owner 0 assigns task 0 to host 0",
+    "owner 0 sends SyncRequest to host 0 with StartTask 0",
+    "host 0 takes SyncRequest of epoch 1, SyncReply to owner 0",
+)
+TAKEN_OVER = (
+    *RUNNING,
+    "owner 1 takes over",
+    "owner 1 sends SyncRequest to host 1",
+    "host 1 takes SyncRequest of epoch 2, SyncReply to owner 1",
+)
+SCOPES = (
+    Scope(
+        (True,),
+        max_attempt=2,
+        max_restarts=0,
+        max_depth=1000,
+        blind=2,
+        prefix=TAKEN_OVER,
+    ),
+    Scope((True,), max_attempt=2, max_restarts=1, max_depth=12, prefix=RUNNING),
+    Scope((True, False), max_attempt=1, max_restarts=0, max_depth=11),
+    Scope((False,), max_attempt=2, max_restarts=1, max_depth=10),
+    Scope((False,), max_attempt=2, max_restarts=0, max_depth=14),
+    Scope((True,), max_attempt=2, max_restarts=0, max_depth=14),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Guards:
+    """Hold the guards of the protocol; the checker takes them out one by one."""
+
+    scope: Scope
+
+    epoch_fence: bool = True
+    guarded_writes: bool = True
+    token_freshness: bool = True
+    wait_for_lapse: bool = True
+    blind_bound: bool = True
+    wait_out_predecessor: bool = True
+    attempt_memory: bool = True
+    incarnation_check: bool = True
+    unknown_when_not_idempotent: bool = True
+    drop_orders: bool = True
+
+
+def broken(state: State) -> str | None:
+    """Return the promise that the state breaks, if any."""
+    for number, starts in enumerate(state.starts):
+        places = sum(t == number for h in state.hosts for t, _ in h.running)
+        if places > 1:
+            return f"task {number} runs in two places"
+        if starts > 1:
+            return f"task {number} is not idempotent and ran twice"
+    if any(len(host.running) > 1 for host in state.hosts):
+        return "a worker host runs more than it can hold"
+    return None
+
+
+def steps(state: State, guards: Guards) -> Iterator[tuple[str, State]]:
+    """Return every step that may come next, with its name."""
+    yield "tick", _tick(state, guards.scope.blind)
+    for number, owner in enumerate(state.owners):
+        yield from _table_steps(state, guards, number, owner)
+        if owner.epoch:
+            yield from _send_steps(state, guards, number, owner)
+    for message in state.messages:
+        yield "SyncRequest lost", state._replace(messages=state.messages - {message})
+        yield from _deliver(state, guards, message)
+    restarts = sum(host.incarnation for host in state.hosts)
+    for number, host in enumerate(state.hosts):
+        if restarts < guards.scope.max_restarts:
+            fresh = Host(incarnation=host.incarnation + 1)
+            yield f"host {number} restarts", _with_host(state, number, fresh)
+
+
+def _tick(state: State, blind: int) -> State:
+    def host(h: Host) -> Host:
+        lease = max(0, h.lease - 1)
+        return h._replace(lease=lease, running=h.running if lease else frozenset())
+
+    def session(s: Session) -> Session:
+        age = _older(s.token_age)
+        return s._replace(token_age=age, free_in=max(0, s.free_in - 1))
+
+    def owner(o: Owner) -> Owner:
+        first, second = o.sessions
+        sessions = (session(first), session(second))
+        return o._replace(blind=min(blind, o.blind + 1), sessions=sessions)
+
+    def message(m: SyncRequest) -> SyncRequest:
+        return m._replace(token_age=_older(m.token_age))
+
+    return state._replace(
+        hosts=tuple(host(h) for h in state.hosts),
+        owners=tuple(owner(o) for o in state.owners),
+        messages=frozenset(message(m) for m in state.messages),
+    )
+
+
+def _older(token_age: int) -> int:
+    """Return the age after a tick; a token too old to count is no token."""
+    if token_age == NO_TOKEN or token_age + 1 >= LEASE:
+        return NO_TOKEN
+    return token_age + 1
+
+
+def _count(scope: Scope, starts: tuple[int, ...], started: int) -> tuple[int, ...]:
+    return tuple(
+        min(2, n + (i == started and not scope.idempotent[i]))
+        for i, n in enumerate(starts)
+    )
+
+
+def _table_steps(
+    state: State, guards: Guards, number: int, owner: Owner
+) -> Iterator[tuple[str, State]]:
+    owns = owner.epoch == state.epoch and owner.epoch > 0
+    if not owns and state.epoch < MAX_EPOCH:
+        yield f"owner {number} takes over", _take_over(state, guards, number)
+    if owner.epoch and not owns:
+        yield f"owner {number} drops", _with_owner(state, number, Owner())
+    if owns and owner.blind:
+        seen = owner._replace(blind=0)
+        yield f"owner {number} reads the table", _with_owner(state, number, seen)
+    if not owner.epoch or (guards.guarded_writes and not owns):
+        return
+    for index, task in enumerate(state.tasks):
+        if task.state == PENDING:
+            if task.attempt < guards.scope.max_attempt:
+                yield from _assign(state, number, owner, index, task)
+        elif task.state == ASSIGNED:
+            yield from _settle(state, guards, number, owner, index, task)
+
+
+def _take_over(state: State, guards: Guards, number: int) -> State:
+    wait = guards.scope.blind + LEASE if guards.wait_out_predecessor else 0
+    session = Session(free_in=wait)
+    owner = Owner(epoch=state.epoch + 1, sessions=(session, session))
+    return _with_owner(state, number, owner)._replace(epoch=state.epoch + 1)
+
+
+def _assign(
+    state: State, number: int, owner: Owner, index: int, task: Task
+) -> Iterator[tuple[str, State]]:
+    for place, session in enumerate(owner.sessions):
+        taken = any(t.state == ASSIGNED and t.host == place for t in state.tasks)
+        if not session.fenced or taken:
+            continue
+        assigned = Task(ASSIGNED, task.attempt + 1, place, session.token_incarnation)
+        written = _with_task(state, index, assigned)
+        start = StartTask(index, assigned.attempt, assigned.host_incarnation)
+        ordered = session._replace(starts=session.starts | {start})
+        name = f"owner {number} assigns task {index} to host {place}"
+        yield name, _with_session(written, number, place, ordered)
+        yield f"{name}, reply lost", written
+
+
+def _settle(
+    state: State, guards: Guards, number: int, owner: Owner, index: int, task: Task
+) -> Iterator[tuple[str, State]]:
+    """Give an assigned task up, once nothing of it can run any more."""
+    session = owner.sessions[task.host]
+    if session.free_in == 0 or not guards.wait_for_lapse:
+        starts = frozenset(s for s in session.starts if s.task != index)
+        cleared = session if not guards.drop_orders else session._replace(starts=starts)
+        yield (
+            f"owner {number} gives up task {index}, lease lapsed",
+            _with_session(
+                _with_task(state, index, _given_up(guards, index, task)),
+                number,
+                task.host,
+                cleared,
+            ),
+        )
+
+
+def _given_up(guards: Guards, index: int, task: Task) -> Task:
+    if guards.unknown_when_not_idempotent and not guards.scope.idempotent[index]:
+        return task._replace(state=UNKNOWN)
+    return Task(PENDING, task.attempt)
+
+
+def _send_steps(
+    state: State, guards: Guards, number: int, owner: Owner
+) -> Iterator[tuple[str, State]]:
+    if guards.blind_bound and owner.blind >= guards.scope.blind:
+        return
+    if len(state.messages) >= MAX_MESSAGES:
+        return
+    for place, session in enumerate(owner.sessions):
+        age = session.token_age
+        starts = session.starts if session.fenced else frozenset()
+        for start in (None, *starts):
+            message = SyncRequest(
+                owner.epoch, place, age, session.token_incarnation, start
+            )
+            free_in = session.free_in
+            if age != NO_TOKEN:
+                free_in = max(free_in, LEASE - age)
+            sent = state._replace(messages=state.messages | {message})
+            yield (
+                f"owner {number} sends SyncRequest to host {place}"
+                + (f" with StartTask {start.task}" if start else ""),
+                _with_session(sent, number, place, session._replace(free_in=free_in)),
+            )
+
+
+def _deliver(
+    state: State, guards: Guards, message: SyncRequest
+) -> Iterator[tuple[str, State]]:
+    """Obey a message at its host; it may stay on its way, to arrive again."""
+    host = state.hosts[message.host]
+    name = f"host {message.host} takes SyncRequest of epoch {message.epoch}"
+    if guards.epoch_fence and message.epoch < host.epoch:
+        yield f"{name}, refused", state._replace(messages=state.messages - {message})
+        return
+    after, started = _obey(guards, host, message)
+    reached = _with_host(state, message.host, after)
+    if started is not None:
+        reached = reached._replace(starts=_count(guards.scope, state.starts, started))
+    gone = reached._replace(messages=reached.messages - {message})
+    yield f"{name}, SyncReply lost", gone
+    yield f"{name}, SyncReply lost, doubled", reached
+    for number, owner in enumerate(state.owners):
+        if owner.epoch == message.epoch:
+            answered = _take_reply(guards, gone, number, message, after)
+            yield f"{name}, SyncReply to owner {number}", answered
+
+
+def _obey(guards: Guards, host: Host, message: SyncRequest) -> tuple[Host, int | None]:
+    host = host._replace(epoch=max(host.epoch, message.epoch))
+    fresh = message.token_age != NO_TOKEN and (
+        message.token_age < LEASE and message.token_incarnation == host.incarnation
+    )
+    if message.token_age != NO_TOKEN and not guards.token_freshness:
+        fresh = True
+    if fresh:
+        age = message.token_age if guards.token_freshness else 0
+        host = host._replace(lease=max(host.lease, LEASE - age))
+    start = message.start
+    if start is None:
+        return host, None
+    ref = (start.task, start.attempt)
+    if ref in host.seen and guards.attempt_memory:
+        return host, None
+    if guards.incarnation_check and start.host_incarnation != host.incarnation:
+        fresh = False
+    host = host._replace(seen=host.seen | {ref})
+    if not fresh or host.lease == 0:
+        return host, None
+    return host._replace(running=host.running | {ref}), start.task
+
+
+def _take_reply(
+    guards: Guards, state: State, number: int, message: SyncRequest, host: Host
+) -> State:
+    """Take a fresh token, then settle what the host's report tells."""
+    session = state.owners[number].sessions[message.host]
+    starts = session.starts - {message.start}
+    # From the fence on, only tokens of before it can prolong an earlier lease.
+    free_in = session.free_in if session.fenced else LEASE
+    taken = Session(True, 0, host.incarnation, free_in, starts)
+    state = _with_session(state, number, message.host, taken)
+    if state.owners[number].epoch != state.epoch and guards.guarded_writes:
+        return state
+    for index, task in enumerate(state.tasks):
+        if task.state == ASSIGNED and task.host == message.host:
+            state = _apply_report(guards, state, number, index, host, message.start)
+    return state
+
+
+def _apply_report(
+    guards: Guards,
+    state: State,
+    number: int,
+    index: int,
+    host: Host,
+    sent: StartTask | None,
+) -> State:
+    task = state.tasks[index]
+    session = state.owners[number].sessions[task.host]
+    start = StartTask(index, task.attempt, task.host_incarnation)
+    ref = (index, task.attempt)
+    if ref in host.running or start in session.starts:
+        return state
+    if task.host_incarnation == host.incarnation and ref not in host.seen:
+        ordered = session._replace(starts=session.starts | {start})
+        return _with_session(state, number, task.host, ordered)
+    return _with_task(state, index, _given_up(guards, index, task))
+
+
+def _with_task(state: State, index: int, task: Task) -> State:
+    tasks = list(state.tasks)
+    tasks[index] = task
+    return state._replace(tasks=tuple(tasks))
+
+
+def _with_host(state: State, number: int, host: Host) -> State:
+    hosts = list(state.hosts)
+    hosts[number] = host
+    return state._replace(hosts=tuple(hosts))
+
+
+def _with_owner(state: State, number: int, owner: Owner) -> State:
+    owners = list(state.owners)
+    owners[number] = owner
+    return state._replace(owners=tuple(owners))
+
+
+def _with_session(state: State, number: int, place: int, session: Session) -> State:
+    owner = state.owners[number]
+    sessions = list(owner.sessions)
+    sessions[place] = session
+    return _with_owner(state, number, owner._replace(sessions=tuple(sessions)))
--- a/src/primrosehub/core/platform.py
+++ b/src/primrosehub/core/platform.py
@@ -28,11 +28,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StartTask:
-    """Order a worker host to start one attempt."""
+    """Order a worker host to start one attempt.
+
+    A host of another incarnation refuses: it can not know whether the attempt was
+    started before its restart, or given up since.
+    """
 
     ref: TaskRef
     size: Resources
     command: str
+    host_incarnation: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosehub/services/_shard_run.py
+++ b/src/primrosehub/services/_shard_run.py
@@ -543,7 +543,12 @@
             self._with.metrics.observe("start_wait_seconds", waited_s, kind=kind)
 
     def _order_start(self, session: WorkerSession, job: Job, ref: TaskRef) -> None:
-        session.starts[ref] = StartTask(ref, job.spec.size, job.spec.command)
+        session.starts[ref] = StartTask(
+            ref=ref,
+            size=job.spec.size,
+            command=job.spec.command,
+            host_incarnation=job.tasks[ref.index].host_incarnation,
+        )
         session.wake()
 
     def _give_orders(self, acks: dict[str, set[TaskRef]]) -> None:
--- a/src/primrosehub/services/_worker_session.py
+++ b/src/primrosehub/services/_worker_session.py
@@ -183,6 +183,11 @@
             log("worker_refused_epoch", worker=self.host.name, epoch=self.epoch)
             self.superseded(reply.installed_epoch)
             return False
+        if not self.fenced:
+            # From the fence on, only tokens of before it can prolong the lease that
+            # an earlier owner renewed.
+            lease_s = self.timing.lease_s + self.timing.drift_s
+            self.free_at = time.monotonic() + lease_s
         self.fenced = True
         self._token = reply.token
         self._token_at = time.monotonic()
--- a/src/primrosehub_standins/worker.py
+++ b/src/primrosehub_standins/worker.py
@@ -107,7 +107,8 @@
             return
         self._seen.add(ref)
         size = item["size"]
-        if not fresh or not self._fits(size):
+        known = item["host_incarnation"] == self._incarnation
+        if not (fresh and known and self._fits(size)):
             self._finished[ref] = "refused"
             self._note_end()
             self._journal.write("refuse", host=self._name, ref=ref)
--- /dev/null
+++ b/testing/border/test_pages.py
@@ -0,0 +1,27 @@
+import re
+from pathlib import Path
+
+from primrosehub.core.errors import ANSWERS
+
+DOCS = Path(__file__).parents[2] / "docs"
+
+
+def test_the_page_of_errors_is_the_table():
+    rows = re.findall(
+        r"^\| `(\w+)` \| (\d+) \| (\w+) \|", (DOCS / "ERRORS.md").read_text(), re.M
+    )
+    told = {None: "absent", True: "true", False: "false"}
+    assert rows == [
+        (str(kind), str(answer.status), told[answer.not_run])
+        for kind, answer in ANSWERS.items()
+    ]
+
+
+def test_every_promise_names_only_tests_that_exist():
+    page = (DOCS / "PROMISES.md").read_text()
+    named = set(re.findall(r"\btest_\w+", page))
+    assert named
+    sources = "".join(
+        p.read_text() for p in Path(__file__).parents[1].rglob("test_*.py")
+    )
+    assert [name for name in sorted(named) if f"def {name}(" not in sources] == []
--- /dev/null
+++ b/testing/protocol/test_model.py
@@ -0,0 +1,61 @@
+import re
+from dataclasses import fields
+from pathlib import Path
+
+import pytest
+from model import grants, ownership
+from model.check import check, guard_names
+
+from primrosehub.core import members, platform
+
+DOCS = Path(__file__).parents[2] / "docs"
+MESSAGES = {"SyncRequest", "SyncReply", "StartTask", "Changes", "PeerNews"}
+
+
+def test_no_shard_of_a_team_passes_its_part():
+    found = check(grants, 0, whole=True, without=None)
+    assert found.whole
+    assert found.violation is None
+
+
+@pytest.mark.parametrize("guard", guard_names(grants))
+def test_every_guard_of_grants_is_needed(guard):
+    assert check(grants, 0, whole=True, without=guard).violation
+
+
+def test_a_take_over_keeps_the_promises_in_every_order_of_events():
+    found = check(ownership, 0, whole=True, without=None)
+    assert found.whole
+    assert found.violation is None
+
+
+@pytest.mark.parametrize("guard", ["epoch_fence", "wait_for_lapse"])
+def test_a_take_over_needs_its_guards(guard):
+    assert check(ownership, 0, whole=False, without=guard).violation
+
+
+def step_names():
+    """Return the names of the steps within a few steps of the first state."""
+    names, frontier = set(), {ownership.SCOPES[2].initial()}
+    guards = ownership.Guards(ownership.SCOPES[2])
+    for _ in range(5):
+        steps = [step for state in frontier for step in ownership.steps(state, guards)]
+        names |= {name for name, _ in steps}
+        frontier = {state for _, state in steps}
+    return names
+
+
+def test_the_specification_speaks_of_the_messages_that_the_code_sends():
+    spoken = set(re.findall(r"\b[A-Z][a-z]+[A-Z][a-z]+\b", " ".join(step_names())))
+    assert spoken == {"SyncRequest", "SyncReply", "StartTask"}
+    for name in MESSAGES:
+        assert hasattr(platform, name) or hasattr(members, name)
+    sent = {field.name for field in fields(platform.SyncRequest)}
+    assert {"epoch", "token", "starts"} <= sent
+    for name in ownership.StartTask._fields[2:]:
+        assert name in {field.name for field in fields(platform.StartTask)}
+
+
+def test_the_protocol_page_lists_the_messages():
+    page = (DOCS / "PROTOCOL.md").read_text()
+    assert all(f"`{name}`" in page for name in MESSAGES)
