--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,100 @@
+"""Work out what control costs each role at the size designed for, from slopes."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from pathlib import Path
+
+import defopt
+
+from primrosehub.core.rendezvous import choose, shard_names
+
+SAMPLES = Path("docs/capacity.json")
+REGIONS = 2
+HOSTS_PER_REGION = 7
+SHARDS_PER_REGION = 24
+SIZE = {
+    "workers": 700 / REGIONS,
+    "tasks": 5700 / REGIONS,
+    "starts": 41 / REGIONS,
+}
+SHARED = {"teams": 120.0, "peers": 2.0 * HOSTS_PER_REGION, "changes": 2700 / 24 / 60}
+FIELDS = {
+    "cpu_percent": ("% of a core", 2.1),
+    "memory_mb": ("MB", 64.0),
+    "bytes_per_s": ("B/s", 7000.0),
+}
+
+
+def slope(samples: list[dict], what: str, role: str, field: str) -> tuple[float, float]:
+    """Return the least squares line over a measurement: intercept and slope."""
+    points = [
+        (s["size"], s[field])
+        for s in samples
+        if s["what"] == what and s["role"] == role
+    ]
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    steep = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return mean_y - steep * mean_x, steep
+
+
+def largest_share() -> float:
+    """Return the largest part of a region's shards that one scheduler owns."""
+    names = [f"scheduler-{n}" for n in range(1, HOSTS_PER_REGION + 1)]
+    shards = shard_names("region-1", SHARDS_PER_REGION)
+    owned = Counter(choose(names, shard) for shard in shards)
+    return max(owned.values()) / SHARDS_PER_REGION
+
+
+def sizes_of(role: str) -> dict[str, float]:
+    """Return how much of each thing the busiest daemon of a role has."""
+    part = largest_share() if role == "scheduler" else 1 / HOSTS_PER_REGION
+    own = {what: size * part for what, size in SIZE.items()}
+    if role == "entry":
+        own = {"starts": own["starts"]}
+    return own | SHARED
+
+
+def table(samples: list[dict]) -> str:
+    """Return the page's table: each slope times its size, and the sum."""
+    lines = [
+        "| role | per | size | "
+        + " | ".join(unit for unit, _ in FIELDS.values())
+        + " |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for role in ("entry", "scheduler"):
+        base = {f: slope(samples, "workers", role, f)[0] for f in FIELDS}
+        rows = [("a daemon alone", 1.0, base)]
+        for what, size in sizes_of(role).items():
+            grown = {
+                f: max(0.0, slope(samples, what, role, f)[1]) * size for f in FIELDS
+            }
+            rows.append((what, size, grown))
+        for name, size, values in rows:
+            cells = " | ".join(f"{values[f]:.2f}" for f in FIELDS)
+            lines.append(f"| {role} | {name} | {size:.1f} | {cells} |")
+        sums = {f: sum(values[f] for _, _, values in rows) for f in FIELDS}
+        cells = " | ".join(
+            f"{sums[f]:.2f}" + (" **over**" if sums[f] > bound else "")
+            for f, (_, bound) in FIELDS.items()
+        )
+        lines.append(f"| {role} | **sum** | | {cells} |")
+    bounds = " | ".join(f"{bound:g}" for _, bound in FIELDS.values())
+    lines.append(f"| | **bound** | | {bounds} |")
+    return "\n".join(lines)
+
+
+def main(samples: Path = SAMPLES) -> None:
+    """Print the table.
+
+    :param samples: the file that scripts/bench control wrote
+    """
+    print(table(json.loads(samples.read_text())))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/src/primrosehub/policy/placement.py
+++ b/src/primrosehub/policy/placement.py
@@ -80,15 +80,17 @@
     teams: Mapping[str, TeamState],
     cell: Resources,
     now_s: float,
+    avoid: Mapping[str, frozenset[str]] | None = None,
 ) -> Plan:
     """Return the starts for the pending tasks; ``rooms`` is changed.
 
     Urgent jobs go first. Then the team furthest below its weighted dominant share
     of the cell goes next, its jobs in the order of their submission; a job that
     does not fit lets later ones pass, but for an all-at-once job of some age, which
-    keeps the worker hosts with the most room for itself.
+    keeps the worker hosts with the most room for itself. ``avoid`` names, by job,
+    worker hosts to use only if no other fits.
     """
-    planner = _Planner(rooms, teams, cell, now_s)
+    planner = _Planner(rooms, teams, cell, now_s, avoid or {})
     planner.run(jobs)
     return planner.plan
 
@@ -100,12 +102,14 @@
         teams: Mapping[str, TeamState],
         cell: Resources,
         now_s: float,
+        avoid: Mapping[str, frozenset[str]],
     ) -> None:
         self.plan = Plan()
         self._rooms = list(rooms)
         self._teams = teams
         self._cell = cell
         self._now_s = now_s
+        self._avoid = avoid
         self._used = {name: team.used for name, team in teams.items()}
         self._headroom = {name: team.headroom for name, team in teams.items()}
         self._too_large: set[Resources] = set()
@@ -165,7 +169,7 @@
                 for index in pending:
                     # A room that fitted best is fuller now and still fits best.
                     if room is None or not job.spec.size.fits_in(room.free):
-                        room = self._best_fit(job)
+                        room = self._best_room(job)
                     if not self._place_one(job, index, room):
                         return
             case Service():
@@ -238,15 +242,26 @@
         else:
             self.plan.blocked[job.id] = NoRoom(job.spec.size)
 
-    def _best_fit(self, job: Job) -> HostRoom | None:
+    def _best_room(self, job: Job) -> HostRoom | None:
+        """Return the best fit, away from hosts on which the job has failed."""
+        avoided = self._avoid.get(job.id)
+        if avoided:
+            elsewhere = [room for room in self._rooms if room.name not in avoided]
+            room = self._best_fit(job, elsewhere)
+            if room is not None:
+                return room
+        room = self._best_fit(job, self._rooms)
+        if room is None:
+            self._too_large.add(job.spec.size)
+        return room
+
+    def _best_fit(self, job: Job, rooms: Sequence[HostRoom]) -> HostRoom | None:
         """Return the room with the least left over of the scarcest resource."""
         size = job.spec.size
-        if size in self._too_large:
-            return None
         best: HostRoom | None = None
         best_left = float("inf")
         cpu_m, memory_mb = size.cpu_m, size.memory_mb
-        for room in self._rooms:
+        for room in rooms:
             # The plainest comparisons come first: this loop is most of a plan's time.
             free = room.free
             if free.cpu_m < cpu_m or free.memory_mb < memory_mb:
@@ -256,8 +271,6 @@
             left = self._left_over(room, size)
             if left < best_left:
                 best, best_left = room, left
-        if best is None:
-            self._too_large.add(size)
         return best
 
     def _best_spread(self, job: Job, racks: Counter[str]) -> HostRoom | None:
--- /dev/null
+++ b/src/primrosehub/services/_placer.py
@@ -0,0 +1,191 @@
+"""Place a shard's pending tasks, within its grants and what its worker hosts have."""
+
+from __future__ import annotations
+
+import time
+from collections import defaultdict
+from dataclasses import replace
+
+from primrosehub.core.members import ShardSummary
+from primrosehub.core.resources import NOTHING, Resources, total
+from primrosehub.core.work import Job, TaskState
+from primrosehub.policy.placement import (
+    HostRoom,
+    NoRoom,
+    OverGrant,
+    Plan,
+    TeamState,
+    plan,
+)
+from primrosehub.policy.suspicion import FailureRecords
+from primrosehub.services._shard_context import Colleagues, Ownership
+from primrosehub.services._shard_state import Draft, ShardState
+from primrosehub.services._worker_sessions import WorkerSessions
+
+MAX_DRAFT_JOBS = 40
+GRANT_IDLE_S = 5.0
+MOVE_AFTER_S = 3.0
+MAX_MOVES = 10
+
+
+class Placer:
+    """Draft assignments, ask for grants and give them back, move stuck jobs."""
+
+    def __init__(
+        self,
+        ownership: Ownership,
+        colleagues: Colleagues,
+        state: ShardState,
+        sessions: WorkerSessions,
+        failures: FailureRecords,
+    ) -> None:
+        self._ownership = ownership
+        self._with = colleagues
+        self._state = state
+        self._sessions = sessions
+        self._failures = failures
+        self._grants_busy: dict[str, float] = {}
+        self._taken_at = time.monotonic()
+
+    def place(self, draft: Draft, retry_at: dict[str, float]) -> Plan:
+        """Draft assignments of pending tasks, raising grants where they bind."""
+        now = time.monotonic()
+        pending = self._state.pending(draft)
+        jobs = [job for job in pending if retry_at.get(job.id, 0.0) <= now]
+        if not jobs:
+            return Plan()
+        planned = self._plan(jobs)
+        if self._raise_grants(jobs, planned):
+            planned = self._plan(jobs)
+        self._assign(planned, draft)
+        return planned
+
+    def move_stuck(self, planned: Plan, draft: Draft) -> None:
+        """Send jobs that find no room here to a shard that has some."""
+        if time.monotonic() - self._taken_at < MOVE_AFTER_S:
+            return
+        stuck = [
+            entry.job
+            for job_id, reason in planned.blocked.items()
+            if isinstance(reason, NoRoom) and job_id not in draft.jobs
+            for entry in [self._state.entries.get(job_id)]
+            if entry and _unstarted(entry.job)
+        ]
+        waited = [j for j in stuck if time.time() - j.submitted_s >= MOVE_AFTER_S]
+        for job in waited[:MAX_MOVES]:
+            for summary in self._with.peers.summaries().values():
+                if summary.shard != job.shard and _has_room(summary, job):
+                    draft.jobs[job.id] = replace(job, shard=summary.shard)
+                    break
+
+    def return_grants(self) -> None:
+        """Shrink grants that were not raised of late to what is in use."""
+        now = time.monotonic()
+        used = self._state.used_by_team()
+        for team in self._with.configuration.current.teams:
+            if now - self._grants_busy.get(team, 0.0) > GRANT_IDLE_S:
+                amount = used.get(team, NOTHING)
+                self._with.grants.shrink(self._ownership.shard, team, amount)
+
+    def summary(self, planned: Plan) -> ShardSummary:
+        """Return what peers are told of the shard."""
+        return ShardSummary(
+            shard=self._ownership.shard,
+            epoch=self._ownership.epoch,
+            free=self._free(),
+            pending=len(planned.blocked),
+            usage=self._state.used_by_team(),
+        )
+
+    def _plan(self, jobs: list[Job]) -> Plan:
+        return plan(
+            jobs,
+            self._rooms(),
+            self._teams(),
+            self._with.capacity(),
+            time.time(),
+            {job.id: self._failures.failed_on(job.id) for job in jobs},
+        )
+
+    def _assign(self, planned: Plan, draft: Draft) -> None:
+        for placement in planned.placements:
+            job = self._state.drafted(draft, placement.job)
+            if job is None:
+                continue
+            if job.id not in draft.jobs and len(draft.jobs) >= MAX_DRAFT_JOBS:
+                return
+            task = job.tasks[placement.index]
+            assigned = replace(
+                task,
+                state=TaskState.ASSIGNED,
+                attempt=task.attempt + 1,
+                host=placement.host,
+                host_incarnation=self._sessions.by_host[placement.host].incarnation,
+            )
+            draft.jobs[job.id] = job.with_task(assigned)
+
+    def _rooms(self) -> list[HostRoom]:
+        """Return what each usable worker host has free.
+
+        A host counts only while it is reached under this epoch. What ends in a draft
+        frees its room only when the draft is committed.
+        """
+        now = time.monotonic()
+        rooms = []
+        for session in self._sessions.by_host.values():
+            host = session.host
+            running = len(self._state.assigned_to(host.name))
+            usable = session.fenced and session.reachable and not host.leaving
+            if usable and self._failures.may_start(host.name, running, now):
+                used = self._state.used_on(host.name)
+                rooms.append(HostRoom(host.name, host.rack, host.capacity - used, used))
+        return rooms
+
+    def _free(self) -> Resources:
+        return total([room.free for room in self._rooms()])
+
+    def _teams(self) -> dict[str, TeamState]:
+        shard = self._ownership.shard
+        used = self._state.used_by_team()
+        elsewhere: dict[str, Resources] = defaultdict(Resources)
+        for summary in self._with.peers.summaries().values():
+            if summary.shard != shard:
+                for team, amount in summary.usage.items():
+                    elsewhere[team] += amount
+        return {
+            name: TeamState(
+                share=team.share,
+                used=used.get(name, NOTHING) + elsewhere[name],
+                headroom=self._with.grants.granted(shard, name)
+                - used.get(name, NOTHING),
+            )
+            for name, team in self._with.configuration.current.teams.items()
+        }
+
+    def _raise_grants(self, jobs: list[Job], planned: Plan) -> bool:
+        """Ask for what the jobs held back by their grant need; tell if any was."""
+        needed: dict[str, Resources] = defaultdict(Resources)
+        for job in jobs:
+            if isinstance(planned.blocked.get(job.id), OverGrant):
+                waiting = sum(t.state is TaskState.PENDING for t in job.tasks)
+                needed[job.spec.team] += job.spec.size * waiting
+        used = self._state.used_by_team()
+        free = self._free() if needed else NOTHING
+        shard = self._ownership.shard
+        raised = False
+        for team, amount in needed.items():
+            before = self._with.grants.granted(shard, team)
+            wanted = used.get(team, NOTHING) + free.cut_to(amount)
+            self._with.grants.request(shard, team, wanted)
+            raised |= self._with.grants.granted(shard, team) != before
+            self._grants_busy[team] = time.monotonic()
+        return raised
+
+
+def _unstarted(job: Job) -> bool:
+    return all(task.state is TaskState.PENDING for task in job.tasks)
+
+
+def _has_room(summary: ShardSummary, job: Job) -> bool:
+    room = summary.free.times_contained(job.spec.size)
+    return room > summary.pending + job.spec.tasks
--- a/src/primrosehub/services/_shard_state.py
+++ b/src/primrosehub/services/_shard_state.py
@@ -49,11 +49,25 @@
             if task.state is TaskState.ASSIGNED:
                 self._by_host[task.host][entry.job.ref(task)] = task
 
-    def put_row(self, row: Row, listed: bool) -> Job:
-        """Take over a job as read from the table."""
+    def put_row(self, row: Row, listed: bool) -> None:
+        """Take over a job as read, if it is open and of this shard.
+
+        ``listed`` tells that it was found by its open row.
+        """
         job = from_plain(Job, row.value)
-        self.put(Entry(job, row.version, listed))
-        return job
+        known = self.entries.get(job.id)
+        if job.state is JobState.OPEN and job.shard == self.shard:
+            was_listed = known is not None and known.listed
+            self.put(Entry(job, row.version, listed or was_listed))
+        else:
+            self.drop(job.id)
+
+    def drafted(self, draft: Draft, job_id: str) -> Job | None:
+        """Return a job as drafted, else as committed."""
+        if job_id in draft.jobs:
+            return draft.jobs[job_id]
+        entry = self.entries.get(job_id)
+        return entry.job if entry else None
 
     def drop(self, job_id: str) -> None:
         """Forget a job."""
@@ -88,11 +102,14 @@
                 used[spec.team] += spec.size
         return dict(used)
 
-    def pending(self) -> Iterator[Job]:
-        """Return the open jobs that have a task to place."""
-        for entry in self.entries.values():
-            if any(task.state is TaskState.PENDING for task in entry.job.tasks):
-                yield entry.job
+    def pending(self, draft: Draft) -> list[Job]:
+        """Return the open jobs that have a task to place, as drafted."""
+        jobs = [self.drafted(draft, job_id) for job_id in self.entries]
+        return [
+            job
+            for job in jobs
+            if job and any(task.state is TaskState.PENDING for task in job.tasks)
+        ]
 
     def transaction(self, draft: Draft, shard_row: Expect) -> Transaction:
         """Return the transaction that commits a draft under this ownership."""
--- /dev/null
+++ b/src/primrosehub/services/_worker_sessions.py
@@ -0,0 +1,126 @@
+"""The sessions of a shard's worker hosts, and the orders given through them."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Mapping
+
+from primrosehub.border.settings import Timing
+from primrosehub.core.platform import Host, StartTask
+from primrosehub.core.work import Job, TaskRef
+from primrosehub.kernel import TaskGroup
+from primrosehub.services._shard_context import Colleagues, Ownership
+from primrosehub.services._worker_session import Report, WorkerSession
+
+
+class WorkerSessions:
+    """Keep one task for each worker host that is listed or in use.
+
+    ``wake`` is called when a report has come.
+    """
+
+    def __init__(
+        self,
+        ownership: Ownership,
+        colleagues: Colleagues,
+        timing: Timing,
+        tasks: TaskGroup,
+        wake: Callable[[], None],
+    ) -> None:
+        self.by_host: dict[str, WorkerSession] = {}
+        self._reports: dict[str, Report] = {}
+        self._ownership = ownership
+        self._with = colleagues
+        self._timing = timing
+        self._tasks = tasks
+        self._wake = wake
+        self._taken_at = time.monotonic()
+
+    @property
+    def syncs(self) -> int:
+        """Return how many synchronizations have succeeded."""
+        return sum(session.syncs for session in self.by_host.values())
+
+    def follow(self, hosts: Mapping[str, Host], in_use: set[str]) -> None:
+        """Open sessions of new worker hosts; close those neither listed nor in use."""
+        for name, host in hosts.items():
+            if name in self.by_host:
+                self.by_host[name].host = host
+            else:
+                self._open(host)
+        for name in set(self.by_host) - set(hosts) - in_use:
+            self.by_host.pop(name).close()
+
+    def take_reports(self) -> dict[str, Report]:
+        """Return the newest report of each worker host since the last call."""
+        reports, self._reports = self._reports, {}
+        return reports
+
+    def put_back(self, reports: Mapping[str, Report]) -> None:
+        """Keep reports for the next call, but for hosts that have reported since."""
+        self._reports = {**reports, **self._reports}
+
+    def close(self) -> None:
+        """Send nothing more."""
+        for session in self.by_host.values():
+            session.close()
+
+    def ask_again(self) -> None:
+        """Ask every worker host for a whole report."""
+        for session in self.by_host.values():
+            session.ask_again()
+
+    def order_start(self, host: str, job: Job, ref: TaskRef) -> None:
+        """Order a start, at once."""
+        session = self.by_host.get(host)
+        if session is None:
+            return
+        session.starts[ref] = StartTask(
+            ref=ref,
+            size=job.spec.size,
+            command=job.spec.command,
+            host_incarnation=job.tasks[ref.index].host_incarnation,
+        )
+        session.wake()
+
+    def order_stop(self, host: str, ref: TaskRef) -> None:
+        """Order a stop, at once."""
+        session = self.by_host.get(host)
+        if session and ref not in session.stops:
+            session.stops.add(ref)
+            session.wake()
+
+    def acknowledge(self, refs: Mapping[str, set[TaskRef]]) -> None:
+        """Let worker hosts forget attempts whose end is in the table."""
+        for host, ended in refs.items():
+            if host in self.by_host:
+                self.by_host[host].acks |= ended
+
+    def _open(self, host: Host) -> None:
+        timing = self._timing
+        before_s = 0.0 if self._ownership.released else timing.blind_s
+        session = WorkerSession(
+            host=host,
+            shard=self._ownership.shard,
+            epoch=self._ownership.epoch,
+            timing=timing,
+            free_at=self._taken_at + before_s + timing.lease_s + timing.drift_s,
+            may_renew=self._may_renew,
+            report=self._take_report,
+            superseded=self._superseded,
+            meter=self._with.metrics.meter("worker"),
+        )
+        self.by_host[host.name] = session
+        self._tasks.spawn(f"worker-{host.name}", session.run)
+        self._tasks.spawn(f"watch-{host.name}", session.watch)
+
+    def _may_renew(self) -> bool:
+        confirmed_at = self._with.membership.view.confirmed_at
+        return time.monotonic() - confirmed_at < self._timing.blind_s
+
+    def _take_report(self, report: Report) -> None:
+        self._reports[report.host] = report
+        self._wake()
+
+    def _superseded(self, epoch: int) -> None:
+        self._with.membership.refresh()
--- a/src/primrosehub/services/dispatch.py
+++ b/src/primrosehub/services/dispatch.py
@@ -10,7 +10,8 @@
 from primrosehub.core.rendezvous import shard_of
 from primrosehub.core.resources import Resources, total
 from primrosehub.kernel import Kernel
-from primrosehub.services._shard_run import Colleagues, Ownership, ShardRun
+from primrosehub.services._shard_context import Colleagues, Ownership
+from primrosehub.services._shard_run import ShardRun
 from primrosehub.services.names import (
     CONFIGURATION,
     GRANTS,
--- a/testing/border/test_http_client.py
+++ b/testing/border/test_http_client.py
@@ -24,6 +24,7 @@
             answer = self.answers.pop(0)
             if answer is None:
                 gevent.sleep(60)
+                return
             sock.sendall(answer)
             if not answer.endswith(b"ok"):
                 sock.close()
--- a/testing/border/test_pages.py
+++ b/testing/border/test_pages.py
@@ -19,7 +19,7 @@
 
 def test_every_promise_names_only_tests_that_exist():
     page = (DOCS / "PROMISES.md").read_text()
-    named = set(re.findall(r"\btest_\w+", page))
+    named = set(re.findall(r"\btest_\w+\b(?!\.py)", page))
     assert named
     sources = "".join(
         p.read_text() for p in Path(__file__).parents[1].rglob("test_*.py")
--- a/testing/cell/test_failures.py
+++ b/testing/cell/test_failures.py
@@ -231,3 +231,11 @@
     cell.fault(callers.job(job_id)["tasks"][0]["host"], mute=True)
     assert callers.wait_done(job_id) == "succeeded"
     assert not callers.violations()
+
+
+def test_a_worker_host_that_fails_everything_costs_no_job(start_cell):
+    cell, callers = start_cell(zones=1, workers_per_rack=4, shards=1)
+    cell.fault("worker-1", fails_all=True)
+    ids = [callers.submit_id(f"j{n}", command="sleep 0.2") for n in range(24)]
+    assert {callers.wait_done(job_id) for job_id in ids} == {"succeeded"}
+    assert not callers.violations(records(callers, ids))
--- a/testing/policy/test_placement.py
+++ b/testing/policy/test_placement.py
@@ -39,6 +39,13 @@
     assert hosts(planned([a_job()], some_rooms(8, 2, 4))) == ["w1"]
 
 
+def test_a_job_is_tried_away_from_hosts_on_which_it_failed():
+    teams = {"blue": a_team()}
+    for rooms, host in ((some_rooms(8, 2), "w0"), (some_rooms(0, 2), "w1")):
+        avoid = {"blue.1": frozenset({"w1"})}
+        assert hosts(plan([a_job()], rooms, teams, CELL, 0.0, avoid)) == [host]
+
+
 def test_an_accelerator_is_kept_for_work_that_asks_for_one():
     rooms = [HostRoom("gpu", "r", a_size(1, 1, 1)), HostRoom("cpu", "r", a_size(8, 8))]
     assert hosts(planned([a_job()], rooms)) == ["cpu"]
--- a/testing/protocol/test_shard_run.py
+++ b/testing/protocol/test_shard_run.py
@@ -12,7 +12,8 @@
 from primrosehub.core.work import Job, JobState, TaskState
 from primrosehub.kernel import TaskGroup
 from primrosehub.services import names
-from primrosehub.services._shard_run import Colleagues, Ownership, ShardRun
+from primrosehub.services._shard_context import Colleagues, Ownership
+from primrosehub.services._shard_run import ShardRun
 from primrosehub.services.grants import GrantsService
 from primrosehub.services.names import CellView
 from primrosehub_standins.journal import Journal
@@ -189,3 +190,21 @@
     shard.wait(lambda: shard.worker._epoch == 2)
     stale = {"shard": SHARD, "epoch": 1, "token": 1, "lease_s": 3.0, "stops": []}
     assert shard.worker.sync(stale)["installed_epoch"] == 2
+
+
+@pytest.mark.parametrize("failure", ["unavailable", "reply lost"])
+def test_an_end_reported_while_the_table_is_away_is_not_lost(shard, failure):
+    shard.own(epoch=1)
+    failures = []
+
+    def fail_twice(transaction):
+        if any(
+            '"succeeded"' in str(w.value).replace("'", '"') for w in transaction.writes
+        ):
+            failures.append(transaction)
+        return failure if failures and len(failures) <= 2 else None
+
+    shard.table.fail_if = fail_twice
+    shard.submit(a_job())
+    shard.wait(lambda: shard.job("blue.1").state is JobState.SUCCEEDED)
+    assert failures
