--- a/testing/border/test_pages.py
+++ b/testing/border/test_pages.py
@@ -1,6 +1,9 @@
+import json
 import re
 from pathlib import Path
 
+from bench.capacity import table
+
 from primrosehub.core.errors import ANSWERS
 
 DOCS = Path(__file__).parents[2] / "docs"
@@ -25,3 +28,8 @@
         p.read_text() for p in Path(__file__).parents[1].rglob("test_*.py")
     )
     assert [name for name in sorted(named) if f"def {name}(" not in sources] == []
+
+
+def test_the_table_of_capacity_is_worked_out_from_the_samples():
+    samples = json.loads((DOCS / "capacity.json").read_text())
+    assert table(samples) in (DOCS / "CAPACITY.md").read_text()
