Name things by their usual terms, split long modules, doctor the journals

Change: ShardServices, unconfirmed_s, notify_inbox, host_failures; the stand-in cell's addresses in layout.py, the model's state in cell_state.py; doctored journals of each kind of violation must be reported by the checker.

Ruled out: merging the shapes that entry and scheduler binaries share; each lists its own services, which is their whole content.

--- a/bench/_cells.py
+++ b/bench/_cells.py
@@ -7,7 +7,8 @@
 from contextlib import contextmanager
 from pathlib import Path
 
-from primrosehub_standins.cell import Cell, Layout
+from primrosehub_standins.cell import Cell
+from primrosehub_standins.layout import Layout
 
 KEY = "rayo-counter-1"
 RULES = Path("examples/rayo/rules.txt")
--- a/bench/control.py
+++ b/bench/control.py
@@ -8,6 +8,7 @@
 import json
 import tempfile
 from collections.abc import Callable
+from contextlib import AbstractContextManager
 from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any, Literal
@@ -112,9 +113,9 @@
         return _measure(cell, "workers", size, seconds)
 
 
-def tasks(size: int, seconds: float) -> list[Sample]:
-    """Measure one scheduler daemon with so many tasks running on 20 worker hosts."""
-    with running_cell(
+def _twenty_workers() -> AbstractContextManager[Cell]:
+    """Return a cell with one daemon of each role and 20 worker hosts."""
+    return running_cell(
         _big_rules(TEAMS_OF_EXAMPLE),
         entries=1,
         schedulers=1,
@@ -122,7 +123,12 @@
         zones=1,
         workers_per_rack=20,
         shards=1,
-    ) as cell:
+    )
+
+
+def tasks(size: int, seconds: float) -> list[Sample]:
+    """Measure one scheduler daemon with so many tasks running on 20 worker hosts."""
+    with _twenty_workers() as cell:
         for number in range(size // 4):
             small = {"cpus": 0.5, "memory_gb": 0.5}
             _submit(cell, number, command="sleep 600", tasks=4, size=small)
@@ -132,15 +138,7 @@
 
 def starts(size: int, seconds: float) -> list[Sample]:
     """Measure one scheduler daemon that starts so many tasks a second."""
-    with running_cell(
-        _big_rules(TEAMS_OF_EXAMPLE),
-        entries=1,
-        schedulers=1,
-        backends=0,
-        zones=1,
-        workers_per_rack=20,
-        shards=1,
-    ) as cell:
+    with _twenty_workers() as cell:
         gevent.sleep(SETTLE_S)
 
         def feed() -> None:
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -209,15 +209,17 @@
 
 def _share_error(night: Night, waiting: dict[str, Job]) -> float:
     """Return how far teams that wait are below their weighted share, at most."""
-    hungry = {job.spec.team for job in waiting.values()}
-    active = hungry | {team for team, used in night.used.items() if used != NOTHING}
+    waiting_teams = {job.spec.team for job in waiting.values()}
+    active = waiting_teams | {
+        team for team, used in night.used.items() if used != NOTHING
+    }
     whole = sum(night.shares[team] for team in active)
     return max(
         max(
             0.0,
             night.shares[team] / whole - night.used[team].dominant_share(night.cell),
         )
-        for team in hungry
+        for team in waiting_teams
     )
 
 
--- a/model/ownership.py
+++ b/model/ownership.py
@@ -9,90 +9,31 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import NamedTuple
+
+from model.cell_state import (
+    ASSIGNED,
+    NO_TOKEN,
+    PENDING,
+    UNKNOWN,
+    Host,
+    Owner,
+    Session,
+    StartTask,
+    State,
+    SyncRequest,
+    Task,
+)
 
 LEASE = 2
 MAX_EPOCH = 2
 MAX_MESSAGES = 1
-NO_TOKEN = -1
-
-PENDING, ASSIGNED, DONE, UNKNOWN = "pending", "assigned", "done", "unknown"
-
-
-class Task(NamedTuple):
-    """Hold a task's row."""
-
-    state: str = PENDING
-    attempt: int = 0
-    host: int = -1
-    host_incarnation: int = 0
-
-
-class StartTask(NamedTuple):
-    """Order one attempt."""
-
-    task: int
-    attempt: int
-    host_incarnation: int
-
-
-class SyncRequest(NamedTuple):
-    """Hold a message on its way to a worker host; the token is known by its age."""
-
-    epoch: int
-    host: int
-    token_age: int
-    token_incarnation: int
-    start: StartTask | None
-
-
-class Host(NamedTuple):
-    """Hold a worker host: remaining ticks of its lease, what it runs and has seen."""
-
-    epoch: int = 0
-    lease: int = 0
-    incarnation: int = 0
-    running: frozenset[tuple[int, int]] = frozenset()
-    seen: frozenset[tuple[int, int]] = frozenset()
-
-
-class Session(NamedTuple):
-    """Hold an owner's side of a worker host; ``free_in`` ticks until it has lapsed."""
-
-    fenced: bool = False
-    token_age: int = NO_TOKEN
-    token_incarnation: int = 0
-    free_in: int = 0
-    starts: frozenset[StartTask] = frozenset()
-
-
-class Owner(NamedTuple):
-    """Hold an owner: its epoch, 0 for none, and ticks since its last table read."""
-
-    epoch: int = 0
-    blind: int = 0
-    sessions: tuple[Session, Session] = (Session(), Session())
-
-
-class State(NamedTuple):
-    """Hold everything; ``starts`` counts those of tasks that are not idempotent.
-
-    Owner 0 has taken over first; that it is so costs nothing, as owners are alike.
-    """
-
-    epoch: int = 1
-    tasks: tuple[Task, ...] = (Task(),)
-    hosts: tuple[Host, Host] = (Host(), Host())
-    owners: tuple[Owner, Owner] = (Owner(epoch=1), Owner())
-    messages: frozenset[SyncRequest] = frozenset()
-    starts: tuple[int, ...] = (0,)
 
 
 @dataclass(frozen=True, slots=True)
 class Scope:
     """Bound an exploration; ``idempotent`` has an entry for each task.
 
-    ``blind`` is how many ticks an owner acts without a read of the table, and
+    ``unconfirmed`` is how many ticks an owner acts without a read of the table, and
     ``prefix`` names the steps that lead to the state to start from.
     """
 
@@ -100,7 +41,7 @@
     max_attempt: int
     max_restarts: int
     max_depth: int
-    blind: int = 1
+    unconfirmed: int = 1
     prefix: tuple[str, ...] = ()
 
     def initial(self) -> State:
@@ -136,7 +77,7 @@
         max_attempt=2,
         max_restarts=0,
         max_depth=1000,
-        blind=2,
+        unconfirmed=2,
         prefix=TAKEN_OVER,
     ),
     Scope((True,), max_attempt=2, max_restarts=1, max_depth=12, prefix=RUNNING),
@@ -157,7 +98,7 @@
     guarded_writes: bool = True
     token_freshness: bool = True
     wait_for_lapse: bool = True
-    blind_bound: bool = True
+    unconfirmed_bound: bool = True
     wait_out_predecessor: bool = True
     attempt_memory: bool = True
     incarnation_check: bool = True
@@ -180,7 +121,7 @@
 
 def steps(state: State, guards: Guards) -> Iterator[tuple[str, State]]:
     """Return every step that may come next, with its name."""
-    yield "tick", _tick(state, guards.scope.blind)
+    yield "tick", _tick(state, guards.scope.unconfirmed)
     for number, owner in enumerate(state.owners):
         yield from _table_steps(state, guards, number, owner)
         if owner.epoch:
@@ -195,7 +136,7 @@
             yield f"host {number} restarts", _with_host(state, number, fresh)
 
 
-def _tick(state: State, blind: int) -> State:
+def _tick(state: State, unconfirmed: int) -> State:
     def host(h: Host) -> Host:
         lease = max(0, h.lease - 1)
         return h._replace(lease=lease, running=h.running if lease else frozenset())
@@ -207,7 +148,9 @@
     def owner(o: Owner) -> Owner:
         first, second = o.sessions
         sessions = (session(first), session(second))
-        return o._replace(blind=min(blind, o.blind + 1), sessions=sessions)
+        return o._replace(
+            unconfirmed=min(unconfirmed, o.unconfirmed + 1), sessions=sessions
+        )
 
     def message(m: SyncRequest) -> SyncRequest:
         return m._replace(token_age=_older(m.token_age))
@@ -241,8 +184,8 @@
         yield f"owner {number} takes over", _take_over(state, guards, number)
     if owner.epoch and not owns:
         yield f"owner {number} drops", _with_owner(state, number, Owner())
-    if owns and owner.blind:
-        seen = owner._replace(blind=0)
+    if owns and owner.unconfirmed:
+        seen = owner._replace(unconfirmed=0)
         yield f"owner {number} reads the table", _with_owner(state, number, seen)
     if not owner.epoch or (guards.guarded_writes and not owns):
         return
@@ -255,7 +198,7 @@
 
 
 def _take_over(state: State, guards: Guards, number: int) -> State:
-    wait = guards.scope.blind + LEASE if guards.wait_out_predecessor else 0
+    wait = guards.scope.unconfirmed + LEASE if guards.wait_out_predecessor else 0
     session = Session(free_in=wait)
     owner = Owner(epoch=state.epoch + 1, sessions=(session, session))
     return _with_owner(state, number, owner)._replace(epoch=state.epoch + 1)
@@ -305,7 +248,7 @@
 def _send_steps(
     state: State, guards: Guards, number: int, owner: Owner
 ) -> Iterator[tuple[str, State]]:
-    if guards.blind_bound and owner.blind >= guards.scope.blind:
+    if guards.unconfirmed_bound and owner.unconfirmed >= guards.scope.unconfirmed:
         return
     if len(state.messages) >= MAX_MESSAGES:
         return
--- a/src/primrosehub/border/settings.py
+++ b/src/primrosehub/border/settings.py
@@ -54,7 +54,7 @@
 
     ``take_over_s`` is the silence after which a member counts as dead, ``lease_s``
     the life of a worker host's lease, ``drift_s`` the allowance for clock rates,
-    ``blind_s`` how long an owner acts without a confirmed read of the table.
+    ``unconfirmed_s`` how long an owner acts without a confirmed read of the table.
     """
 
     renew_s: Seconds = 2.0
@@ -62,7 +62,7 @@
     lease_s: Seconds = 30.0
     sync_s: Seconds = 10.0
     drift_s: Seconds = 1.0
-    blind_s: Seconds = 900.0
+    unconfirmed_s: Seconds = 900.0
     config_poll_s: Seconds = 1.0
     config_stale_s: Seconds = 3.0
     exchange_s: Seconds = 2.0
--- a/src/primrosehub/policy/suspicion.py
+++ b/src/primrosehub/policy/host_failures.py
@@ -7,7 +7,7 @@
 FAILED_JOBS_TO_QUARANTINE = 3
 FIRST_QUARANTINE_S = 30.0
 MAX_QUARANTINE_S = 600.0
-HOSTS_TO_BLAME_JOB = 2
+HOSTS_FOR_FAILING_JOB = 2
 
 
 @dataclass(slots=True)
@@ -15,7 +15,7 @@
     failed_jobs: set[str] = field(default_factory=set)
     until_s: float = 0.0
     quarantine_s: float = FIRST_QUARANTINE_S
-    on_trial: bool = False
+    probing: bool = False
 
 
 @dataclass(slots=True)
@@ -37,27 +37,27 @@
         """Record that an attempt failed; tell if the host is quarantined for it."""
         hosts = self._failed_on.setdefault(job, set())
         hosts.add(host)
-        if len(hosts) >= HOSTS_TO_BLAME_JOB:
-            self._acquit(hosts, job)
+        if len(hosts) >= HOSTS_FOR_FAILING_JOB:
+            self._discard_failures(hosts, job)
             return False
         record = self._hosts.setdefault(host, _HostRecord())
         record.failed_jobs.add(job)
-        enough = 1 if record.on_trial else FAILED_JOBS_TO_QUARANTINE
+        enough = 1 if record.probing else FAILED_JOBS_TO_QUARANTINE
         if len(record.failed_jobs) < enough or now_s < record.until_s:
             return False
         record.until_s = now_s + record.quarantine_s
         record.quarantine_s = min(MAX_QUARANTINE_S, 2 * record.quarantine_s)
-        record.on_trial = True
+        record.probing = True
         return True
 
-    def _acquit(self, hosts: set[str], job: str) -> None:
+    def _discard_failures(self, hosts: set[str], job: str) -> None:
         """Take a job's failures from the evidence; end what rests on too little."""
         for host in hosts & set(self._hosts):
             record = self._hosts[host]
             record.failed_jobs.discard(job)
             if len(record.failed_jobs) < FAILED_JOBS_TO_QUARANTINE:
                 record.until_s = 0.0
-                record.on_trial = False
+                record.probing = False
                 record.quarantine_s = FIRST_QUARANTINE_S
 
     def forget_job(self, job: str) -> None:
@@ -76,4 +76,4 @@
         record = self._hosts.get(host)
         if record is None:
             return True
-        return now_s >= record.until_s and not (record.on_trial and running)
+        return now_s >= record.until_s and not (record.probing and running)
--- a/src/primrosehub/services/_job_changes.py
+++ b/src/primrosehub/services/_job_changes.py
@@ -9,8 +9,8 @@
 from primrosehub.core.logs import log
 from primrosehub.core.platform import Finished
 from primrosehub.core.work import Job, Service, Task, TaskRef, TaskState
+from primrosehub.policy.host_failures import FailureRecords
 from primrosehub.policy.outcomes import HostRestarted, LeaseLapsed, Reported, after
-from primrosehub.policy.suspicion import FailureRecords
 from primrosehub.services._shard_state import Draft, ShardState
 from primrosehub.services._worker_session import Report, WorkerSession
 from primrosehub.services._worker_sessions import WorkerSessions
@@ -49,7 +49,7 @@
             for finished in report.finished:
                 self._apply_finished(draft, name, finished)
             if report.running is not None:
-                self._stop_strangers(draft, name, report.running)
+                self._stop_unassigned(draft, name, report.running)
                 self._find_absent(draft, session, report, report.running)
         return acks
 
@@ -98,7 +98,7 @@
         same = task.attempt == ref.attempt and task.host == host
         return (job, task) if same and task.state is TaskState.ASSIGNED else None
 
-    def _stop_strangers(
+    def _stop_unassigned(
         self, draft: Draft, host: str, running: tuple[TaskRef, ...]
     ) -> None:
         for ref in running:
--- a/src/primrosehub/services/_placer.py
+++ b/src/primrosehub/services/_placer.py
@@ -9,6 +9,7 @@
 from primrosehub.core.members import ShardSummary
 from primrosehub.core.resources import NOTHING, Resources, total
 from primrosehub.core.work import Job, TaskState
+from primrosehub.policy.host_failures import FailureRecords
 from primrosehub.policy.placement import (
     HostRoom,
     NoRoom,
@@ -17,8 +18,7 @@
     TeamState,
     plan,
 )
-from primrosehub.policy.suspicion import FailureRecords
-from primrosehub.services._shard_context import Colleagues, Ownership
+from primrosehub.services._shard_context import Ownership, ShardServices
 from primrosehub.services._shard_state import Draft, ShardState
 from primrosehub.services._worker_sessions import WorkerSessions
 
@@ -34,13 +34,13 @@
     def __init__(
         self,
         ownership: Ownership,
-        colleagues: Colleagues,
+        services: ShardServices,
         state: ShardState,
         sessions: WorkerSessions,
         failures: FailureRecords,
     ) -> None:
         self._ownership = ownership
-        self._with = colleagues
+        self._services = services
         self._state = state
         self._sessions = sessions
         self._failures = failures
@@ -73,7 +73,7 @@
         ]
         waited = [j for j in stuck if time.time() - j.submitted_s >= MOVE_AFTER_S]
         for job in waited[:MAX_MOVES]:
-            for summary in self._with.peers.summaries().values():
+            for summary in self._services.peers.summaries().values():
                 if summary.shard != job.shard and _has_room(summary, job):
                     draft.jobs[job.id] = replace(job, shard=summary.shard)
                     break
@@ -82,10 +82,10 @@
         """Shrink grants that were not raised of late to what is in use."""
         now = time.monotonic()
         used = self._state.used_by_team()
-        for team in self._with.configuration.current.teams:
+        for team in self._services.configuration.current.teams:
             if now - self._grants_busy.get(team, 0.0) > GRANT_IDLE_S:
                 amount = used.get(team, NOTHING)
-                self._with.grants.shrink(self._ownership.shard, team, amount)
+                self._services.grants.shrink(self._ownership.shard, team, amount)
 
     def summary(self, planned: Plan) -> ShardSummary:
         """Return what peers are told of the shard."""
@@ -102,7 +102,7 @@
             jobs,
             self._rooms(),
             self._teams(),
-            self._with.capacity(),
+            self._services.capacity(),
             time.time(),
             {job.id: self._failures.failed_on(job.id) for job in jobs},
         )
@@ -148,7 +148,7 @@
         shard = self._ownership.shard
         used = self._state.used_by_team()
         elsewhere: dict[str, Resources] = defaultdict(Resources)
-        for summary in self._with.peers.summaries().values():
+        for summary in self._services.peers.summaries().values():
             if summary.shard != shard:
                 for team, amount in summary.usage.items():
                     elsewhere[team] += amount
@@ -156,10 +156,10 @@
             name: TeamState(
                 share=team.share,
                 used=used.get(name, NOTHING) + elsewhere[name],
-                headroom=self._with.grants.granted(shard, name)
+                headroom=self._services.grants.granted(shard, name)
                 - used.get(name, NOTHING),
             )
-            for name, team in self._with.configuration.current.teams.items()
+            for name, team in self._services.configuration.current.teams.items()
         }
 
     def _raise_grants(self, jobs: list[Job], planned: Plan) -> bool:
@@ -174,10 +174,10 @@
         shard = self._ownership.shard
         raised = False
         for team, amount in needed.items():
-            before = self._with.grants.granted(shard, team)
+            before = self._services.grants.granted(shard, team)
             wanted = used.get(team, NOTHING) + free.cut_to(amount)
-            self._with.grants.request(shard, team, wanted)
-            raised |= self._with.grants.granted(shard, team) != before
+            self._services.grants.request(shard, team, wanted)
+            raised |= self._services.grants.granted(shard, team) != before
             self._grants_busy[team] = time.monotonic()
         return raised
 
--- a/src/primrosehub/services/_shard_context.py
+++ b/src/primrosehub/services/_shard_context.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Colleagues:
+class ShardServices:
     """Hold the services that a shard run works with, found by name.
 
     ``hosts`` returns the worker hosts of a shard, ``capacity`` that of the cell.
--- a/src/primrosehub/services/_shard_run.py
+++ b/src/primrosehub/services/_shard_run.py
@@ -21,10 +21,10 @@
 )
 from primrosehub.core.work import Job, Service, Task, TaskState
 from primrosehub.kernel import TaskGroup
-from primrosehub.policy.suspicion import FailureRecords
+from primrosehub.policy.host_failures import FailureRecords
 from primrosehub.services._job_changes import JobChanges
 from primrosehub.services._placer import Placer
-from primrosehub.services._shard_context import Colleagues, Ownership
+from primrosehub.services._shard_context import Ownership, ShardServices
 from primrosehub.services._shard_state import Draft, ShardState
 from primrosehub.services._worker_session import Report
 from primrosehub.services._worker_sessions import WorkerSessions
@@ -42,26 +42,26 @@
     def __init__(
         self,
         ownership: Ownership,
-        colleagues: Colleagues,
+        services: ShardServices,
         timing: Timing,
         tasks: TaskGroup,
     ) -> None:
         self.ownership = ownership
         self.closed = False
         self.summary = ShardSummary(ownership.shard, ownership.epoch)
-        self._with = colleagues
+        self._services = services
         self._timing = timing
         self._state = ShardState(ownership.shard)
         self._wake = Event()
         self._sessions = WorkerSessions(
-            ownership, colleagues, timing, tasks, self._wake.set
+            ownership, services, timing, tasks, self._wake.set
         )
         failures = FailureRecords()
         self._changes = JobChanges(
-            self._state, self._sessions, failures, colleagues.metrics
+            self._state, self._sessions, failures, services.metrics
         )
         self._placer = Placer(
-            ownership, colleagues, self._state, self._sessions, failures
+            ownership, services, self._state, self._sessions, failures
         )
         self._inbox: dict[str, Row] = {}
         self._reload: set[str] = set()
@@ -111,9 +111,9 @@
 
     def _adopt(self) -> None:
         shard = self.ownership.shard
-        self._with.grants.load(shard)
+        self._services.grants.load(shard)
         prefix = keys.open_job(shard)
-        rows = self._with.table.read_all(prefix)
+        rows = self._services.table.read_all(prefix)
         self._load_jobs([row.key.removeprefix(prefix) for row in rows], listed=True)
         log("shard_adopted", shard=shard, jobs=len(self._state.entries))
 
@@ -122,11 +122,11 @@
         remaining = iter(ids)
         while chunk := list(islice(remaining, READ_CHUNK)):
             query = Keys(tuple(keys.job(job_id) for job_id in chunk))
-            for row in self._with.table.read(query)[0]:
+            for row in self._services.table.read(query)[0]:
                 self._state.put_row(row, listed)
 
     def _follow_hosts(self) -> None:
-        hosts = self._with.hosts(self.ownership.shard)
+        hosts = self._services.hosts(self.ownership.shard)
         self._sessions.follow(hosts, self._state.hosts_in_use())
         for name, host in hosts.items():
             if host.leaving:
@@ -185,7 +185,7 @@
 
     def _read_inbox(self) -> None:
         query = Prefix(keys.inbox(self.ownership.shard), limit=MAX_INBOX_ROWS)
-        rows = self._with.table.read(query)[0]
+        rows = self._services.table.read(query)[0]
         if rows:
             ids = [row.key.removeprefix(query.prefix) for row in rows]
             self._load_jobs(ids, listed=False)
@@ -197,7 +197,7 @@
             return True
         transaction = self._state.transaction(draft, self.ownership.row)
         try:
-            outcome = self._with.table.commit(transaction)
+            outcome = self._services.table.commit(transaction)
         except TableOutcomeUnknown:
             self._reload |= set(draft.jobs)
             return False
@@ -222,17 +222,17 @@
             self._sessions.order_start(task.host, job, job.ref(task))
             waited_s = time.time() - job.submitted_s
             kind = job.spec.work.kind
-            self._with.metrics.observe("start_wait_seconds", waited_s, kind=kind)
+            self._services.metrics.observe("start_wait_seconds", waited_s, kind=kind)
         for job in draft.jobs.values():
             if job.shard != self.ownership.shard:
-                self._with.peers.nudge_inbox(job.shard)
+                self._services.peers.notify_inbox(job.shard)
 
     def _resolve(self, conflicts: tuple[str, ...], draft: Draft) -> None:
         """Read again what another has changed, or stop if that is the shard."""
         if self.ownership.row.key in conflicts:
             log("shard_lost", shard=self.ownership.shard)
             self.close()
-            self._with.membership.refresh()
+            self._services.membership.refresh()
             return
         self._inbox.clear()
         self._inbox_at = 0.0
--- a/src/primrosehub/services/_worker_sessions.py
+++ b/src/primrosehub/services/_worker_sessions.py
@@ -9,7 +9,7 @@
 from primrosehub.core.platform import Host, StartTask
 from primrosehub.core.work import Job, TaskRef
 from primrosehub.kernel import TaskGroup
-from primrosehub.services._shard_context import Colleagues, Ownership
+from primrosehub.services._shard_context import Ownership, ShardServices
 from primrosehub.services._worker_session import Report, WorkerSession
 
 
@@ -22,7 +22,7 @@
     def __init__(
         self,
         ownership: Ownership,
-        colleagues: Colleagues,
+        services: ShardServices,
         timing: Timing,
         tasks: TaskGroup,
         wake: Callable[[], None],
@@ -30,7 +30,7 @@
         self.by_host: dict[str, WorkerSession] = {}
         self._reports: dict[str, Report] = {}
         self._ownership = ownership
-        self._with = colleagues
+        self._services = services
         self._timing = timing
         self._tasks = tasks
         self._wake = wake
@@ -100,7 +100,7 @@
 
     def _open(self, host: Host) -> None:
         timing = self._timing
-        before_s = 0.0 if self._ownership.released else timing.blind_s
+        before_s = 0.0 if self._ownership.released else timing.unconfirmed_s
         session = WorkerSession(
             host=host,
             shard=self._ownership.shard,
@@ -110,15 +110,15 @@
             may_renew=self._may_renew,
             report=self._take_report,
             superseded=self._superseded,
-            meter=self._with.metrics.meter("worker"),
+            meter=self._services.metrics.meter("worker"),
         )
         self.by_host[host.name] = session
         self._tasks.spawn(f"worker-{host.name}", session.run)
         self._tasks.spawn(f"watch-{host.name}", session.watch)
 
     def _may_renew(self) -> bool:
-        confirmed_at = self._with.membership.view.confirmed_at
-        return time.monotonic() - confirmed_at < self._timing.blind_s
+        confirmed_at = self._services.membership.view.confirmed_at
+        return time.monotonic() - confirmed_at < self._timing.unconfirmed_s
 
     def _take_report(self, report: Report) -> None:
         self._keep(report)
@@ -136,4 +136,4 @@
             self.by_host[report.host].ask_again()
 
     def _superseded(self, epoch: int) -> None:
-        self._with.membership.refresh()
+        self._services.membership.refresh()
--- a/src/primrosehub/services/dispatch.py
+++ b/src/primrosehub/services/dispatch.py
@@ -10,7 +10,7 @@
 from primrosehub.core.rendezvous import shard_of
 from primrosehub.core.resources import Resources, total
 from primrosehub.kernel import Kernel
-from primrosehub.services._shard_context import Colleagues, Ownership
+from primrosehub.services._shard_context import Ownership, ShardServices
 from primrosehub.services._shard_run import ShardRun
 from primrosehub.services.names import (
     CONFIGURATION,
@@ -39,7 +39,7 @@
         self._metrics = self._kernel.find(METRICS)
         self._peers = self._kernel.find(PEERS)
         self._tasks = self._kernel.tasks(stack)
-        self._colleagues = Colleagues(
+        self._shard_services = ShardServices(
             configuration=self._kernel.find(CONFIGURATION),
             grants=self._kernel.find(GRANTS),
             membership=self._kernel.find(MEMBERSHIP),
@@ -55,7 +55,9 @@
         """Begin to act for a shard; ``released`` if its last owner handed it over."""
         self.release(shard)
         ownership = Ownership(shard, epoch, version, released)
-        run = ShardRun(ownership, self._colleagues, self._settings.timing, self._tasks)
+        run = ShardRun(
+            ownership, self._shard_services, self._settings.timing, self._tasks
+        )
         self._runs[shard] = run
         self._tasks.spawn(f"shard-{shard}", run.run)
 
--- a/src/primrosehub/services/jobs.py
+++ b/src/primrosehub/services/jobs.py
@@ -45,7 +45,7 @@
 
 
 class JobsService:
-    """Write jobs to the table and nudge the owner of their shard."""
+    """Write jobs to the table and notify the owner of their shard."""
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
@@ -88,7 +88,7 @@
         match self._commit(insert):
             case Applied():
                 self._metrics.count("jobs_accepted", kind=spec.work.kind)
-                self._peers.nudge_inbox(job.shard)
+                self._peers.notify_inbox(job.shard)
                 return job, True
             case Conflicted():
                 return self._earlier(job), False
@@ -124,7 +124,7 @@
                 ),
             )
             if isinstance(self._commit(update), Applied):
-                self._peers.nudge_inbox(job.shard)
+                self._peers.notify_inbox(job.shard)
                 return job
         raise HubError(ErrorKind.UNAVAILABLE, "the job keeps changing; try again")
 
--- a/src/primrosehub/services/names.py
+++ b/src/primrosehub/services/names.py
@@ -143,10 +143,10 @@
     def publish(self, summaries: Sequence[ShardSummary]) -> None:
         """Set the summaries of this daemon's own shards."""
 
-    def nudge_inbox(self, shard: str) -> None:
+    def notify_inbox(self, shard: str) -> None:
         """Tell the owner of a shard at once that its inbox has changed."""
 
-    def nudge_shards(self) -> None:
+    def notify_shards(self) -> None:
         """Tell every scheduler at once that shard rows have changed."""
 
     def heard(self, within_s: float) -> Sequence[PeerNews]:
--- a/src/primrosehub/services/peers.py
+++ b/src/primrosehub/services/peers.py
@@ -77,7 +77,7 @@
         """Set the summaries of this daemon's own shards."""
         self._own = {summary.shard: summary for summary in summaries}
 
-    def nudge_inbox(self, shard: str) -> None:
+    def notify_inbox(self, shard: str) -> None:
         """Tell the owner of a shard at once that its inbox has changed."""
         view = self._membership.view
         owner = view.owners[shard][0].owner if shard in view.owners else ""
@@ -87,7 +87,7 @@
                 link.inbox_shards.add(shard)
                 link.wake.set()
 
-    def nudge_shards(self) -> None:
+    def notify_shards(self) -> None:
         """Tell every scheduler at once that shard rows have changed."""
         for member in self._membership.view.live:
             link = self._links.get(member.peer_address)
@@ -175,9 +175,9 @@
         client = FrameClient(ip.strip("[]"), int(port))
         try:
             while not link.closed:
-                nudged = link.wake.wait(self._pause_s())
+                notified = link.wake.wait(self._pause_s())
                 link.wake.clear()
-                if not link.closed and (nudged or self._is_due(link)):
+                if not link.closed and (notified or self._is_due(link)):
                     self._exchange(link, client)
         finally:
             client.close()
--- a/src/primrosehub/services/shards.py
+++ b/src/primrosehub/services/shards.py
@@ -107,7 +107,7 @@
         self._leaving = True
         for shard in list(self._held):
             self._release(shard, self._membership.view)
-        self._peers.nudge_shards()
+        self._peers.notify_shards()
 
     def _run(self) -> None:
         self._check_layout()
@@ -153,7 +153,7 @@
                 self._take(shard, epoch, version, released)
             case Release():
                 self._release(shard, view)
-                self._peers.nudge_shards()
+                self._peers.notify_shards()
             case Drop():
                 log("shard_lost", shard=shard)
                 self._stop_acting(shard)
--- a/src/primrosehub_standins/cell.py
+++ b/src/primrosehub_standins/cell.py
@@ -4,19 +4,18 @@
 
 import contextlib
 import signal
-import socket
 import subprocess
 import sys
 import time
 from collections.abc import Iterable
 from contextlib import ExitStack
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import orjson
 
 from primrosehub.border.http_client import HttpEndpoint, NoAnswer, NotSent, Response
+from primrosehub_standins.layout import Daemon, Layout, Ports, backend_of, worker_of
 
 START_TIMEOUT_S = 40.0
 STOP_TIMEOUT_S = 15.0
@@ -28,42 +27,6 @@
     """Say what of the cell did not start or obey."""
 
 
-@dataclass(frozen=True, slots=True)
-class Layout:
-    """Say how many of each the cell has."""
-
-    entries: int = 3
-    schedulers: int = 3
-    zones: int = 4
-    racks_per_zone: int = 1
-    workers_per_rack: int = 6
-    worker_capacity: dict[str, int] = field(
-        default_factory=lambda: {"cpu_m": 64000, "memory_mb": 131072}
-    )
-    backends: int = 24
-    service: str = "quotes"
-    slots: int = 8
-    connections: int = 64
-    shards: int = 4
-    timing: dict[str, float] = field(default_factory=dict)
-    worker_processes: int = 1
-
-
-@dataclass(slots=True)
-class Daemon:
-    """Hold one daemon: its settings and its process."""
-
-    name: str
-    role: str
-    settings: dict[str, Any]
-    path: Path
-    process: subprocess.Popen[bytes] | None = None
-
-    def address(self, which: str) -> tuple[str, int]:
-        """Return an address of the settings."""
-        return self.settings[which]["ip"], self.settings[which]["port"]
-
-
 class Cell:
     """Own the processes of a cell; close to end them all."""
 
@@ -239,7 +202,7 @@
                     process.wait()
 
     def _choose_addresses(self) -> None:
-        ports = _Ports()
+        ports = Ports()
         self._ports = {
             name: ports.take("127.0.0.1") for name in ("table", "objects", "host-list")
         }
@@ -247,9 +210,9 @@
         for number in range(
             layout.zones * layout.racks_per_zone * layout.workers_per_rack
         ):
-            self.hosts.append(self._worker(number, ports))
+            self.hosts.append(worker_of(layout, number, ports))
         for number in range(layout.backends):
-            self.hosts.append(self._backend(number, ports))
+            self.hosts.append(backend_of(layout, number, ports))
         (self.folder / "hosts.json").write_bytes(orjson.dumps(self.hosts))
         platform = {
             name.replace("-", "_"): {"ip": "127.0.0.1", "port": port}
@@ -265,7 +228,7 @@
         self._write_settings()
 
     def _settle(
-        self, role: str, number: int, ip: str, platform: dict[str, Any], ports: _Ports
+        self, role: str, number: int, ip: str, platform: dict[str, Any], ports: Ports
     ) -> None:
         name = f"{role}-{number}"
         settings = {
@@ -291,33 +254,6 @@
             ]
             daemon.path.write_bytes(orjson.dumps(daemon.settings))
 
-    def _worker(self, number: int, ports: _Ports) -> dict[str, Any]:
-        rack = number // self.layout.workers_per_rack
-        ip = f"127.0.1.{1 + number % 250}"
-        return {
-            "name": f"worker-{number + 1}",
-            "kind": "worker",
-            "ip": ip,
-            "port": ports.take(ip),
-            "zone": f"zone-{1 + rack % self.layout.zones}",
-            "rack": f"rack-{1 + rack}",
-            "capacity": self.layout.worker_capacity,
-        }
-
-    def _backend(self, number: int, ports: _Ports) -> dict[str, Any]:
-        ip = f"127.0.2.{1 + number % 250}"
-        return {
-            "name": f"backend-{number + 1}",
-            "kind": "backend",
-            "ip": ip,
-            "port": ports.take(ip),
-            "zone": f"zone-{1 + number % self.layout.zones}",
-            "rack": f"rack-{1 + number % self.layout.zones}",
-            "service": self.layout.service,
-            "slots": self.layout.slots,
-            "connections": self.layout.connections,
-        }
-
     def _start_platform(self) -> None:
         hosts = str(self.folder / "hosts.json")
         for role, port in self._ports.items():
@@ -335,20 +271,3 @@
     def _start_standin(self, name: str, words: list[str]) -> None:
         words = [*words, "--journal", str(self.journal(name))]
         self.standins[name] = self._spawn(name, "primrosehub_standins.main", *words)
-
-
-class _Ports:
-    """Choose free ports, none twice."""
-
-    def __init__(self) -> None:
-        self._taken: set[tuple[str, int]] = set()
-
-    def take(self, ip: str) -> int:
-        """Return a port that is free now."""
-        while True:
-            with socket.socket() as probe:
-                probe.bind((ip, 0))
-                port = probe.getsockname()[1]
-            if (ip, port) not in self._taken:
-                self._taken.add((ip, port))
-                return port
--- a/src/primrosehub_standins/demo.py
+++ b/src/primrosehub_standins/demo.py
@@ -16,7 +16,8 @@
 import orjson
 from gevent.event import Event
 
-from primrosehub_standins.cell import Cell, Layout
+from primrosehub_standins.cell import Cell
+from primrosehub_standins.layout import Layout
 from primrosehub_standins.checker import check_calls, check_jobs, check_workers
 from primrosehub_standins.journal import read_journal
 from primrosehub_standins.load import Load, quantile
--- a/testing/builders/__init__.py
+++ b/testing/builders/__init__.py
@@ -96,3 +96,15 @@
 queue suggestions open team=green  # Tests: for everyone
 default batch cpus=1 memory_gb=1 runtime_s=60  # Tests: small tasks
 """
+
+
+def an_event(event, at, task=0, attempt=1, host="w1", cpus=1, **fields):
+    """Return a worker host's journal line about a task of job blue.1."""
+    return {
+        "event": event,
+        "at": at,
+        "host": host,
+        "ref": ["blue.1", task, attempt],
+        "size": {"cpu_m": cpus * 1000},
+        **fields,
+    }
--- a/testing/cell/test_callers.py
+++ b/testing/cell/test_callers.py
@@ -9,7 +9,8 @@
 
 @pytest.fixture(scope="module")
 def cell_and_callers(tmp_path_factory):
-    from primrosehub_standins.cell import Cell, Layout
+    from primrosehub_standins.cell import Cell
+    from primrosehub_standins.layout import Layout
     from testing.builders import some_rules
     from testing.cell.callers import Callers
     from testing.conftest import FAST
--- a/testing/cell/test_failures.py
+++ b/testing/cell/test_failures.py
@@ -108,7 +108,7 @@
         lambda: kind_of(callers.submit("new")) == "unavailable", "a refusal at once"
     )
     assert orjson.loads(callers.submit("new").body)["not_run"] is True
-    # Longer than the trust in a read of the table, shorter than the blind bound.
+    # Longer than config_stale_s, shorter than unconfirmed_s.
     gevent.sleep(4.0)
     assert callers.call(entry=1).status == callers.call(entry=2).status == 200
     cell.fault("table", down=False)
@@ -222,7 +222,7 @@
 
 
 def test_a_worker_host_lost_after_a_take_over_lapses_within_a_lease(start_cell):
-    cell, callers = start_cell(schedulers=2, timing=FAST | {"blind_s": 600.0})
+    cell, callers = start_cell(schedulers=2, timing=FAST | {"unconfirmed_s": 600.0})
     job_id = callers.submit_id("job", tasks=4, command="sleep 6")
     callers.wait_running(job_id)
     cell.stop("scheduler-1", signal.SIGKILL)
--- a/testing/cell/test_pages.py
+++ b/testing/cell/test_pages.py
@@ -4,7 +4,8 @@
 import subprocess
 from pathlib import Path
 
-from primrosehub_standins.cell import Cell, Layout
+from primrosehub_standins.cell import Cell
+from primrosehub_standins.layout import Layout
 from testing.conftest import FAST
 
 ROOT = Path(__file__).parents[2]
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -4,7 +4,8 @@
 
 import pytest  # noqa: E402
 
-from primrosehub_standins.cell import Cell, Layout  # noqa: E402
+from primrosehub_standins.cell import Cell  # noqa: E402
+from primrosehub_standins.layout import Layout  # noqa: E402
 from testing.builders import some_rules  # noqa: E402
 from testing.cell.callers import Callers  # noqa: E402
 
@@ -14,7 +15,7 @@
     "lease_s": 3.0,
     "sync_s": 0.6,
     "drift_s": 0.3,
-    "blind_s": 6.0,
+    "unconfirmed_s": 6.0,
     "config_poll_s": 0.4,
     "config_stale_s": 2.0,
     "exchange_s": 0.5,
--- a/testing/policy/test_suspicion.py
+++ b/testing/policy/test_host_failures.py
@@ -1,4 +1,4 @@
-from primrosehub.policy.suspicion import FailureRecords
+from primrosehub.policy.host_failures import FailureRecords
 
 
 def failed(*pairs, now_s=0.0):
--- a/testing/protocol/test_shard_run.py
+++ b/testing/protocol/test_shard_run.py
@@ -12,7 +12,7 @@
 from primrosehub.core.work import Job, JobState, TaskState
 from primrosehub.kernel import TaskGroup
 from primrosehub.services import names
-from primrosehub.services._shard_context import Colleagues, Ownership
+from primrosehub.services._shard_context import Ownership, ShardServices
 from primrosehub.services._shard_run import ShardRun
 from primrosehub.services.grants import GrantsService
 from primrosehub.services.names import CellView
@@ -30,7 +30,7 @@
     def summaries(self):
         return {}
 
-    def nudge_inbox(self, shard):
+    def notify_inbox(self, shard):
         pass
 
 
@@ -71,7 +71,7 @@
             )
         )
         grants.start(ExitStack())
-        self.colleagues = Colleagues(
+        self.services = ShardServices(
             configuration=configuration,
             grants=grants,
             membership=FakeMembership(),
@@ -91,7 +91,7 @@
         owner = Write(keys.shard(SHARD), to_plain(ShardOwner(f"owner-{epoch}", epoch)))
         version = self.table.commit(Transaction((expect,), (owner,))).version
         ownership = Ownership(SHARD, epoch, version, released=True)
-        run = ShardRun(ownership, self.colleagues, Timing(**FAST), self.tasks)
+        run = ShardRun(ownership, self.services, Timing(**FAST), self.tasks)
         self.tasks.spawn("run", run.run)
         return run
 
--- /dev/null
+++ b/testing/standins/test_checker.py
@@ -0,0 +1,73 @@
+from testing.builders import an_event
+
+from primrosehub_standins.checker import (
+    CallRecord,
+    JobRecord,
+    check_calls,
+    check_jobs,
+    check_limits,
+    check_workers,
+)
+
+CAPACITY = {"w1": {"cpu_m": 2000}, "w2": {"cpu_m": 2000}}
+GOOD = [
+    an_event("start", 1.0),
+    an_event("end", 2.0, outcome="lapsed"),
+    an_event("start", 3.0, attempt=2, host="w2"),
+    an_event("end", 4.0, attempt=2, host="w2", outcome="succeeded"),
+]
+TEAMS = {"blue.1": "blue"}
+
+
+def a_call(status=200, **fields):
+    body = b"whole"
+    return CallRecord("c1", status, body, fields.pop("received", body), **fields)
+
+
+def begun(times):
+    return [{"event": "begin", "id": "c1"}] * times
+
+
+def test_a_good_run_has_no_violation():
+    assert check_workers(GOOD, CAPACITY) == []
+    assert check_jobs(GOOD, [JobRecord("blue.1", "succeeded", 1)]) == []
+    assert check_limits(GOOD, TEAMS, {"blue": {"cpu_m": 1000}}) == []
+    assert check_calls(begun(1), [a_call()]) == []
+
+
+def test_a_task_in_two_places_is_reported():
+    doctored = [event for event in GOOD if event.get("outcome") != "lapsed"]
+    assert "while it ran on w1" in check_workers(doctored, CAPACITY)[0]
+
+
+def test_an_overloaded_worker_host_is_reported():
+    events = [an_event("start", float(n), task=n) for n in range(3)]
+    assert check_workers(events, CAPACITY) == ["w1 was given 3000 of cpu_m"]
+
+
+def test_a_team_over_its_limit_is_reported():
+    events = [an_event("start", float(n), task=n) for n in range(2)]
+    told = check_limits(events, TEAMS, {"blue": {"cpu_m": 1000}})
+    assert told == ["team blue ran 2000 of cpu_m"]
+
+
+def test_a_job_told_succeeded_that_did_not_or_twice_is_reported():
+    for events, times in ((GOOD[:2], 0), (GOOD + GOOD[2:], 2)):
+        told = check_jobs(events, [JobRecord("blue.1", "succeeded", 1)])
+        assert told == [f"task blue.1/0 is told succeeded and succeeded {times} times"]
+
+
+def test_a_non_idempotent_task_that_ran_twice_is_reported():
+    told = check_jobs(GOOD, [JobRecord("blue.1", "unknown", 1, idempotent=False)])
+    assert told == ["task blue.1/0 may run once, ran twice"]
+
+
+def test_calls_told_wrongly_are_reported():
+    for events, call, violation in (
+        (begun(0), a_call(), "was answered and never ran"),
+        (begun(1), a_call(received=b"who"), "wrong or partial answer"),
+        (begun(1), a_call(503, not_run=True), "is told not run, and ran"),
+        (begun(2), a_call(504, idempotent=False), "may run once, ran 2 times"),
+    ):
+        (told,) = check_calls(events, [call])
+        assert violation in told
