Drop an error kind that nothing answers with

Cause: backend_failed stood in the closed list and on the page, and no code gives it: an answer of a backend server is passed on as it is. Ruled out: giving it for 5xx answers, which would hide the backend server's own body from the caller.

--- a/src/primrosehub/core/errors.py
+++ b/src/primrosehub/core/errors.py
@@ -21,7 +21,6 @@
     OVERLOADED = "overloaded"
     DEADLINE_TOO_SHORT = "deadline_too_short"
     UNAVAILABLE = "unavailable"
-    BACKEND_FAILED = "backend_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
     INTERNAL = "internal"
 
@@ -48,7 +47,6 @@
     ErrorKind.OVERLOADED: Answer(503, "All slots are taken", True),
     ErrorKind.DEADLINE_TOO_SHORT: Answer(503, "The deadline can not be met", True),
     ErrorKind.UNAVAILABLE: Answer(503, "A needed part is unavailable", True),
-    ErrorKind.BACKEND_FAILED: Answer(502, "The backend server failed", False),
     ErrorKind.OUTCOME_UNKNOWN: Answer(504, "It is not known if this ran", None),
     ErrorKind.INTERNAL: Answer(500, "The scheduler itself failed", None),
 }
