--- /dev/null
+++ b/src/primrosehub/binaries/hub.py
@@ -0,0 +1,107 @@
+"""The hub daemon: serves callers, and owns the jobs while it is elected."""
+# ruff: noqa: E402, I001 - gevent must patch the standard library first
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import os
+import signal
+import sys
+from pathlib import Path
+
+import defopt
+import gevent
+from pydantic import ValidationError
+
+from primrosehub.border.codec import describe
+from primrosehub.border.hub_settings import HubSettings
+from primrosehub.core.logs import log, log_to_stdout
+from primrosehub.kernel import Kernel
+from primrosehub.services import names
+from primrosehub.services.names import cluster
+
+EXIT_BAD_SETTINGS = 2
+SETTINGS_VARIABLE = "PRIMROSEHUB_SETTINGS"
+# The balancer takes a daemon out after two missed checks, one a second.
+UNTIL_OUT_S = 2.3
+QUIET_S = 0.4
+KEEP_FOR_EXIT_S = 1.2  # of the grace period, so that the process ends by itself
+
+MANIFEST = (
+    (names.METRICS, "primrosehub.services.metrics:MetricsRegistry"),
+    (cluster.STORE, "primrosehub.services.store:StoreService"),
+    (
+        cluster.CLUSTER_CONFIG,
+        "primrosehub.services.cluster_config:ClusterConfigService",
+    ),
+    (cluster.PEERING, "primrosehub.services.peering:PeeringService"),
+    (cluster.ADVISING, "primrosehub.services.advising:AdvisingService"),
+    (cluster.SCHEDULER, "primrosehub.services.scheduler:SchedulerService"),
+    (cluster.OWNERSHIP, "primrosehub.services.ownership:OwnershipService"),
+    (cluster.INTAKE, "primrosehub.services.intake:IntakeService"),
+    (cluster.CALLER_FRONT, "primrosehub.services.caller_front:CallerFront"),
+    (cluster.HUB_OPS, "primrosehub.services.hub_ops:HubOps"),
+)
+
+
+def read_settings(path: Path) -> HubSettings:
+    """Return the validated settings; raise ValueError that names what is wrong."""
+    try:
+        return HubSettings.model_validate_json(path.read_bytes())
+    except ValidationError as error:
+        raise ValueError(f"{path}: {describe(error)}") from None
+
+
+def leave(kernel: Kernel) -> None:
+    """Hand the jobs over, then serve until the balancer has noticed."""
+    log("leaving")
+    began = gevent.get_hub().loop.now()
+    kernel.find(cluster.OWNERSHIP).release()
+    gevent.sleep(UNTIL_OUT_S)
+    spent = gevent.get_hub().loop.now() - began
+    limit = kernel.settings.bounds.grace_s - KEEP_FOR_EXIT_S - spent
+    kernel.find(cluster.CALLER_FRONT).drain(QUIET_S, max(0.0, limit))
+
+
+def _reload(path: Path, kernel: Kernel) -> None:
+    """Check changed settings; addresses in use are taken over at the next start."""
+    try:
+        settings = read_settings(path)
+    except (OSError, ValueError) as error:
+        log("settings_rejected", reason=str(error)[:300])
+        return
+    log("settings_reloaded", changed=settings != kernel.settings)
+
+
+def hub(*, settings: Path | None = None, check: bool = False) -> int:
+    """Serve callers and schedule jobs.
+
+    :param settings: the JSON file with the settings
+    :param check: only check the settings, then exit
+    """
+    path = settings or Path(os.environ.get(SETTINGS_VARIABLE, "settings.json"))
+    try:
+        values = read_settings(path)
+    except (OSError, ValueError) as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    if check:
+        print(f"{path}: the settings are valid")
+        return 0
+    log_to_stdout()
+    kernel = Kernel(values)
+    for name, factory in MANIFEST:
+        kernel.load(name, factory)
+    log("starting", daemon=values.name, zone=values.zone)
+    gevent.signal_handler(signal.SIGHUP, _reload, path, kernel)
+    return kernel.run(lambda: leave(kernel))
+
+
+def main() -> None:
+    """Run the hub daemon."""
+    sys.exit(defopt.run(hub))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/primrosehub/core/errors.py
+++ b/src/primrosehub/core/errors.py
@@ -13,6 +13,7 @@
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
+    NO_SUCH_JOB = "no_such_job"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     CONFLICT = "conflict"
     ALREADY_SENT = "already_sent"
@@ -39,6 +40,7 @@
     ErrorKind.UNAUTHENTICATED: Answer(401, "The key is missing or not valid", True),
     ErrorKind.FORBIDDEN: Answer(403, "The key's team may not do this", True),
     ErrorKind.NOT_FOUND: Answer(404, "There is no such thing", True),
+    ErrorKind.NO_SUCH_JOB: Answer(410, "There is no such job", True),
     ErrorKind.METHOD_NOT_ALLOWED: Answer(405, "The method does not fit the path", True),
     ErrorKind.CONFLICT: Answer(409, "The request contradicts an earlier one", True),
     ErrorKind.ALREADY_SENT: Answer(409, "The request was sent once before", None),
--- a/src/primrosehub/core/logs.py
+++ b/src/primrosehub/core/logs.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import sys
+from collections import deque
 from typing import Any, TextIO
 
 import eliot
+import gevent
+from gevent.event import Event
+from gevent.os import make_nonblocking, nb_write
 from logfmter import Logfmter
 
 _OMITTED = {"task_uuid", "task_level", "timestamp", "message_type"}
+MAX_PENDING_LINES = 5000  # about one second of the busiest daemon
+FLUSH_S = 0.1
 
 
 def log(event: str, **fields: Any) -> None:
@@ -20,9 +26,59 @@
     """Send all events to the stream."""
 
     def write(message: dict[str, Any]) -> None:
-        fields = {k: v for k, v in message.items() if k not in _OMITTED}
-        head = {"at": f"{message['timestamp']:.3f}", "event": message["message_type"]}
-        stream.write(Logfmter.format_params(head | fields) + "\n")
+        stream.write(_line(message))
         stream.flush()
 
     eliot.add_destinations(write)
+
+
+def log_to_stdout() -> None:
+    """Send all events to stdout without ever waiting for its reader.
+
+    Lines beyond a bound are dropped and counted in the next line that is written.
+    """
+    writer = _StdoutWriter(sys.stdout.fileno())
+    eliot.add_destinations(writer.add)
+    gevent.spawn(writer.run)
+
+
+class _StdoutWriter:
+    """Hold a bounded number of lines until a greenlet has written them."""
+
+    def __init__(self, descriptor: int) -> None:
+        make_nonblocking(descriptor)
+        self._descriptor = descriptor
+        self._lines: deque[str] = deque()
+        self._dropped = 0
+        self._wake = Event()
+
+    def add(self, message: dict[str, Any]) -> None:
+        """Take a line, or drop it if too many wait."""
+        if len(self._lines) >= MAX_PENDING_LINES:
+            self._dropped += 1
+            return
+        self._lines.append(_line(message))
+        self._wake.set()
+
+    def run(self) -> None:
+        """Write what is pending, whenever the reader takes it."""
+        while True:
+            self._wake.wait()
+            gevent.sleep(FLUSH_S)
+            self._wake.clear()
+            text = "".join(self._lines)
+            self._lines.clear()
+            if self._dropped:
+                text += f"event=log_lines_dropped count={self._dropped}\n"
+                self._dropped = 0
+            self._write(text.encode())
+
+    def _write(self, data: bytes) -> None:
+        while data:
+            data = data[nb_write(self._descriptor, data) :]
+
+
+def _line(message: dict[str, Any]) -> str:
+    fields = {k: v for k, v in message.items() if k not in _OMITTED}
+    head = {"at": f"{message['timestamp']:.3f}", "event": message["message_type"]}
+    return Logfmter.format_params(head | fields) + "\n"
--- a/src/primrosehub/kernel/__init__.py
+++ b/src/primrosehub/kernel/__init__.py
@@ -1,6 +1,6 @@
 """Register services by name, and start and stop them in order."""
 
 from primrosehub.kernel._kernel import Kernel, Service, ServiceName
-from primrosehub.kernel._tasks import TaskGroup
+from primrosehub.kernel._tasks import TaskGroup, log_task_error
 
-__all__ = ["Kernel", "Service", "ServiceName", "TaskGroup"]
+__all__ = ["Kernel", "Service", "ServiceName", "TaskGroup", "log_task_error"]
--- a/src/primrosehub/kernel/_tasks.py
+++ b/src/primrosehub/kernel/_tasks.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Callable
 from typing import Any
 
 import gevent
 from gevent import Greenlet
 
+from primrosehub.core.logs import log
+
+RESTART_AFTER_S = 0.2  # keeps a task that fails at once from using up the processor
+
 
 class TaskGroup:
     """Own the greenlets of one service."""
@@ -21,19 +26,50 @@
 
     def spawn(self, name: str, function: Callable[..., None], *args: Any) -> Greenlet:
         """Run the function in a greenlet of the given name."""
-        task = gevent.spawn(self._guard, name, function, *args)
+        return self._spawn(self._guard, name, function, *args)
+
+    def spawn_lasting(
+        self, name: str, function: Callable[..., None], *args: Any
+    ) -> Greenlet:
+        """Run the function, and again after an error, until it returns."""
+        return self._spawn(self._repeat, name, function, *args)
+
+    def close(self) -> None:
+        """End every greenlet and wait for it, except the calling one."""
+        me = gevent.getcurrent()
+        gevent.killall([task for task in self._tasks if task is not me])
+
+    def _spawn(self, *args: Any) -> Greenlet:
+        task = gevent.spawn(*args)
         self._tasks.add(task)
         task.rawlink(self._tasks.discard)
         return task
 
-    def close(self) -> None:
-        """End every greenlet and wait for it."""
-        gevent.killall(list(self._tasks))
-
     def _guard(self, name: str, function: Callable[..., None], *args: Any) -> None:
         try:
             function(*args)
         except gevent.GreenletExit:
             raise
-        except Exception as error:  # noqa: BLE001 - reported and fatal for the process
+        except Exception as error:  # noqa: BLE001 - reported to the owner of the group
             self._on_failure(name, error)
+
+    def _repeat(self, name: str, function: Callable[..., None], *args: Any) -> None:
+        while True:
+            try:
+                function(*args)
+            except gevent.GreenletExit:
+                raise
+            except Exception as error:  # noqa: BLE001 - logged, and the task goes on
+                log_task_error(name, error)
+                gevent.sleep(RESTART_AFTER_S)
+            else:
+                return
+
+
+def log_task_error(name: str, error: BaseException) -> None:
+    """Log an error that ended a task, with the place that raised it."""
+    places = traceback.extract_tb(error.__traceback__)[-3:]
+    trace = " < ".join(
+        f"{p.filename.rsplit('/', 1)[-1]}:{p.lineno}" for p in places[::-1]
+    )
+    log("task_error", task=name, error=repr(error)[:300], trace=trace)
--- /dev/null
+++ b/src/primrosehub/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Speak the platform's names, formats and calls; decide nothing."""
--- /dev/null
+++ b/src/primrosehub/platform/advice.py
@@ -0,0 +1,53 @@
+"""Calls to the service that knows which worker hosts may run a step."""
+
+from __future__ import annotations
+
+import orjson
+from pydantic import TypeAdapter, ValidationError
+
+from primrosehub.border.http_client import HttpEndpoint, NoAnswer, NotSent
+from primrosehub.core.fleet import Advice
+from primrosehub.platform import wire
+
+
+class AdviceUnavailable(Exception):
+    """Say that no advice was given, and why."""
+
+
+class _AdviceAnswer(wire.WireModel):
+    allowed: list[tuple[str, str]]
+    validity_ms: int = 0
+
+
+_ANSWER = TypeAdapter(_AdviceAnswer)
+
+
+class AdviceClient:
+    """Ask for advice over kept connections."""
+
+    def __init__(self, address: str) -> None:
+        ip, _, port = address.rpartition(":")
+        self._endpoint = HttpEndpoint(ip, int(port))
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._endpoint.close()
+
+    def advise(
+        self, job: str, occurrence: int, step: int, hosts: list[str], timeout_s: float
+    ) -> Advice:
+        """Return the hosts of the list that may run the step; raise."""
+        body = orjson.dumps({"step-id": f"{job}.{occurrence}.{step}", "workers": hosts})
+        try:
+            response = self._endpoint.exchange(
+                "POST", wire.ADVISE, wire.JSON_HEADERS, body, timeout_s=timeout_s
+            )
+        except (NotSent, NoAnswer) as error:
+            raise AdviceUnavailable(str(error)) from None
+        if response.status != 200:
+            raise AdviceUnavailable(f"status {response.status}")
+        try:
+            answer = _ANSWER.validate_json(response.body)
+        except ValidationError as error:
+            raise AdviceUnavailable(f"unreadable answer: {error}") from None
+        return Advice(dict(answer.allowed), answer.validity_ms / 1000)
--- /dev/null
+++ b/src/primrosehub/platform/store.py
@@ -0,0 +1,189 @@
+"""Calls to the platform's row store."""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+from collections.abc import Callable
+from dataclasses import dataclass
+from urllib.parse import urlencode
+
+import orjson
+from pydantic import TypeAdapter, ValidationError
+
+from primrosehub.core.rows import (
+    HistoryLost,
+    RowKey,
+    RowsOutcome,
+    RowsPage,
+    RowsTransaction,
+    StoredRow,
+    StoreRefused,
+    StoreUnknown,
+    TransactionApplied,
+    TransactionConflicted,
+)
+from primrosehub.platform import wire
+
+MAX_PAGE_ROWS = 500  # the store's own bound on one read
+
+
+@dataclass(frozen=True, slots=True)
+class StoreCall:
+    """Hold one encoded call; a call that only reads may be sent again freely."""
+
+    method: str
+    target: str
+    body: bytes
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StoreReply:
+    """Hold the store's answer to a call."""
+
+    status: int
+    body: bytes
+
+
+# Carries a call to the store; raises StoreRefused or StoreUnknown.
+StoreTransport = Callable[[StoreCall], StoreReply]
+
+
+class _Row(wire.WireModel):
+    table_name: str
+    part: str = ""
+    key: str
+    value: str = ""
+    row_version: int
+    deleted: bool = False
+
+    def decoded(self) -> StoredRow:
+        key = RowKey(self.table_name, self.part, self.key)
+        return StoredRow(key, b64decode(self.value), self.row_version, self.deleted)
+
+
+class _Rows(wire.WireModel):
+    rows: list[_Row] = []
+    row_version: int = 0
+    has_more: bool = False
+
+
+class _Parts(wire.WireModel):
+    parts: list[str] = []
+    has_more: bool = False
+
+
+_ROWS = TypeAdapter(_Rows)
+_PARTS = TypeAdapter(_Parts)
+
+
+class RowStore:
+    """Encode reads and transactions and decode their answers."""
+
+    def __init__(self, transport: StoreTransport) -> None:
+        self._transport = transport
+
+    def commit(self, transaction: RowsTransaction, timeout_s: float) -> RowsOutcome:
+        """Apply a transaction; raise StoreRefused or StoreUnknown."""
+        call = StoreCall("POST", wire.ROWS_TX, _encode(transaction), timeout_s)
+        reply = self._transport(call)
+        match reply.status:
+            case 200:
+                return TransactionApplied(self._rows(reply).row_version)
+            case 412:
+                rows = self._rows(reply).rows
+                return TransactionConflicted(tuple(row.decoded() for row in rows))
+        raise StoreRefused(f"status {reply.status}: {reply.body[:200]!r}")
+
+    def read(
+        self, table: str, part: str, timeout_s: float, *, start: str = "", end: str = ""
+    ) -> RowsPage:
+        """Return one page of a part's rows in key order; raise StoreRefused."""
+        query = {"table-name": table, "part": part, "result-limit": MAX_PAGE_ROWS}
+        if start:
+            query["from"] = start
+        if end:
+            query["target"] = end
+        return self._page(wire.ROWS_GET, query, timeout_s)
+
+    def read_one(self, key: RowKey, timeout_s: float) -> StoredRow | None:
+        """Return a row, or None if there is none; raise StoreRefused."""
+        page = self.read(
+            key.table, key.part, timeout_s, start=key.key, end=key.key + "\0"
+        )
+        return page.rows[0] if page.rows else None
+
+    def read_part(self, table: str, part: str, timeout_s: float) -> RowsPage:
+        """Return all rows of a part, page by page, with the first page's version."""
+        page = self.read(table, part, timeout_s)
+        rows, version = list(page.rows), page.version
+        while page.has_more:
+            after = rows[-1].key.key + "\0"
+            page = self.read(table, part, timeout_s, start=after)
+            rows.extend(page.rows)
+        return RowsPage(tuple(rows), version)
+
+    def parts(self, table: str, timeout_s: float) -> list[str]:
+        """Return the parts of a table; raise StoreRefused."""
+        found: list[str] = []
+        more = True
+        while more:
+            query = {"table-name": table}
+            if found:
+                query["after"] = found[-1]
+            target = f"{wire.ROWS_PARTS}?{urlencode(query)}"
+            reply = self._read(StoreCall("GET", target, b"", timeout_s))
+            page = _PARTS.validate_json(reply.body)
+            found.extend(page.parts)
+            more = page.has_more and bool(page.parts)
+        return found
+
+    def changes(
+        self, table: str, after: int, wait_s: float, timeout_s: float
+    ) -> RowsPage:
+        """Return the changes of a table after a version; raise HistoryLost too."""
+        query = {"table-name": table, "after": after, "wait-ms": int(wait_s * 1000)}
+        return self._page(wire.ROWS_FEED, query, timeout_s)
+
+    def _page(self, path: str, query: dict[str, object], timeout_s: float) -> RowsPage:
+        call = StoreCall("GET", f"{path}?{urlencode(query)}", b"", timeout_s)
+        rows = self._rows(self._read(call))
+        decoded = tuple(row.decoded() for row in rows.rows)
+        return RowsPage(decoded, rows.row_version, rows.has_more)
+
+    def _read(self, call: StoreCall) -> StoreReply:
+        try:
+            reply = self._transport(call)
+        except StoreUnknown as error:
+            raise StoreRefused(str(error)) from None
+        if reply.status == 410:
+            raise HistoryLost
+        if reply.status != 200:
+            raise StoreRefused(f"status {reply.status}: {reply.body[:200]!r}")
+        return reply
+
+    def _rows(self, reply: StoreReply) -> _Rows:
+        try:
+            return _ROWS.validate_json(reply.body)
+        except ValidationError as error:
+            raise StoreRefused(f"unreadable answer: {error}") from None
+
+
+def _encode(transaction: RowsTransaction) -> bytes:
+    return orjson.dumps(
+        {
+            "expected-revision": [
+                _key(expect.key) | {"row-version": expect.version}
+                for expect in transaction.expects
+            ],
+            "write": [
+                _key(write.key) | {"value": b64encode(write.value).decode()}
+                for write in transaction.writes
+            ],
+            "remove": [_key(key) for key in transaction.removes],
+        }
+    )
+
+
+def _key(key: RowKey) -> dict[str, object]:
+    return {"table-name": key.table, "part": key.part, "key": key.key}
--- /dev/null
+++ b/src/primrosehub/policy/host_trust.py
@@ -0,0 +1,58 @@
+"""How far a worker host's outcomes let it be trusted; no I/O and no clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+FAILURE_WEIGHT = 0.3  # of the newest outcome in the moving average
+SUSPEND_ABOVE = 0.5  # two failures in a row
+SUSPEND_S = 3.0  # about half of the length of the faults that the users list
+AFTER_SUSPENSION = 0.35  # one more failure suspends again
+RISKY_ABOVE = 0.25
+
+
+@dataclass(slots=True)
+class HostTrust:
+    """Hold a moving average of failed attempts, 0 to 1."""
+
+    failing: float = 0.0
+    suspended_until: float = float("-inf")
+
+    def note_success(self) -> None:
+        """Take note of an attempt that ended well."""
+        self.failing *= 1 - FAILURE_WEIGHT
+
+    def note_failure(self, now: float) -> bool:
+        """Take note of a failed attempt; tell whether this suspends the host."""
+        self.failing += (1 - self.failing) * FAILURE_WEIGHT
+        if self.failing <= SUSPEND_ABOVE:
+            return False
+        self.suspended_until = now + SUSPEND_S
+        self.failing = AFTER_SUSPENSION
+        return True
+
+    def note_stuck(self, now: float) -> None:
+        """Suspend a host on which a task made no progress."""
+        self.suspended_until = now + SUSPEND_S
+        self.failing = max(self.failing, AFTER_SUSPENSION)
+
+    def pardon(self) -> None:
+        """Take back half the blame: the task has failed elsewhere too."""
+        self.failing /= 2
+
+    def usable(self, now: float) -> bool:
+        """Tell whether new attempts may start there."""
+        return now >= self.suspended_until
+
+    @property
+    def risk(self) -> float:
+        """Return 1 for a host of second choice, else 0."""
+        return 1.0 if self.failing > RISKY_ABOVE else 0.0
+
+
+STUCK_AFTER_S = 1.8  # above the period of reports and a task's startup
+
+
+def is_stuck(now: float, percent_at: float, percent: int) -> bool:
+    """Tell whether a running attempt has stood still for too long."""
+    return percent < 100 and now - percent_at > STUCK_AFTER_S
--- /dev/null
+++ b/src/primrosehub/policy/packing.py
@@ -0,0 +1,249 @@
+"""Choose worker hosts for waiting tasks; no I/O and no clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from primrosehub.core.resources import Resources
+
+BACKLOG_SCAN = 400  # demands looked at in one pass, so that a pass stays short
+RESERVATIONS = 2  # gangs for which room is kept while they do not fit
+
+
+@dataclass(slots=True)
+class HostSpace:
+    """Hold the free room of one host; ``risk`` above 0 makes it a second choice."""
+
+    host: str
+    cpu_m: int
+    memory_mb: int
+    accelerators: int
+    total: Resources
+    rack: str
+    labels: tuple[str, ...]
+    risk: float = 0.0
+    reserved: bool = False
+
+    def fits(self, need: Resources) -> bool:
+        """Tell whether the need fits into the free room."""
+        return (
+            need.cpu_m <= self.cpu_m
+            and need.memory_mb <= self.memory_mb
+            and need.accelerators <= self.accelerators
+        )
+
+    def take(self, need: Resources, count: int = 1) -> None:
+        """Use room, or give it back with a negative count."""
+        self.cpu_m -= need.cpu_m * count
+        self.memory_mb -= need.memory_mb * count
+        self.accelerators -= need.accelerators * count
+
+    def left_after(self, need: Resources) -> float:
+        """Return the largest share of a resource that stays free, 0 to 1."""
+        cpu = (self.cpu_m - need.cpu_m) / max(1, self.total.cpu_m)
+        memory = (self.memory_mb - need.memory_mb) / max(1, self.total.memory_mb)
+        return max(cpu, memory)
+
+
+@dataclass(slots=True)
+class Demand:
+    """Hold the waiting tasks of one step, all of the same need.
+
+    ``tasks`` are indexes into the step, ``avoid`` the hosts barred for each.
+    ``allowed`` names hosts with a valid ticket, None means any. ``expired`` names
+    hosts that would be allowed with a new ticket. ``placed`` counts tasks of the step
+    on each host. Demands come in the order in which they are to be served.
+    """
+
+    key: object
+    team: str
+    need: Resources
+    tasks: list[int]
+    gang: bool
+    label: str = ""
+    data_rack: str = ""
+    one_rack: bool = False
+    max_per_host: int = 0
+    avoid: dict[int, set[str]] = field(default_factory=dict)
+    allowed: frozenset[str] | None = None
+    expired: frozenset[str] = frozenset()
+    placed: dict[str, int] = field(default_factory=dict)
+    urgent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Start one task of a demand on a host."""
+
+    key: object
+    task: int
+    host: str
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Hold the placements, and the demands that only lack valid tickets."""
+
+    placements: tuple[Placement, ...]
+    lacking_tickets: tuple[object, ...]
+
+
+class TeamRoom:
+    """Hold what each team may still start; a team without a limit is not listed."""
+
+    def __init__(
+        self, left: dict[str, Resources], limits: dict[str, Resources]
+    ) -> None:
+        self._left = left
+        self._limits = limits
+
+    def times(self, team: str, need: Resources) -> int:
+        """Return how many tasks of the need the team may still start."""
+        left, limit = self._left.get(team), self._limits.get(team)
+        if left is None or limit is None:
+            return 1 << 30
+        counts = [
+            room // size
+            for room, size, bound in (
+                (left.cpu_m, need.cpu_m, limit.cpu_m),
+                (left.memory_mb, need.memory_mb, limit.memory_mb),
+                (left.accelerators, need.accelerators, limit.accelerators),
+            )
+            if bound and size
+        ]
+        return max(0, min(counts, default=1 << 30))
+
+    def take(self, team: str, need: Resources, count: int) -> None:
+        """Count started tasks."""
+        if team in self._left:
+            self._left[team] = self._left[team] - need * count
+
+
+def plan(demands: list[Demand], spaces: list[HostSpace], teams: TeamRoom) -> Plan:
+    """Place as many tasks as fit, in the order of the demands."""
+    by_host = {space.host: space for space in spaces}
+    placements: list[Placement] = []
+    lacking: list[object] = []
+    reservations = 0
+    for demand in demands[:BACKLOG_SCAN]:
+        count = min(len(demand.tasks), teams.times(demand.team, demand.need))
+        if count == 0 or (demand.gang and count < len(demand.tasks)):
+            continue
+        candidates = _candidates(demand, by_host, demand.allowed)
+        chosen = _choose(demand, candidates, count)
+        for task, space in chosen:
+            placements.append(Placement(demand.key, task, space.host))
+        teams.take(demand.team, demand.need, len(chosen))
+        if len(chosen) == count:
+            continue
+        if demand.expired and _would_fit(demand, by_host):
+            lacking.append(demand.key)
+        if demand.gang and reservations < RESERVATIONS:
+            reservations += _reserve(demand, by_host)
+    return Plan(tuple(placements), tuple(lacking))
+
+
+def _candidates(
+    demand: Demand, by_host: dict[str, HostSpace], allowed: frozenset[str] | None
+) -> list[HostSpace]:
+    if allowed is None:
+        pool = list(by_host.values())
+    else:
+        pool = [by_host[host] for host in allowed if host in by_host]
+    return [
+        space
+        for space in pool
+        if not space.reserved
+        and space.fits(demand.need)
+        and (not demand.label or demand.label in space.labels)
+    ]
+
+
+def _choose(
+    demand: Demand, candidates: list[HostSpace], count: int
+) -> list[tuple[int, HostSpace]]:
+    """Return hosts for up to ``count`` tasks, a gang all or none; take their room."""
+    if demand.one_rack:
+        candidates = _best_rack(demand, candidates)
+    placed = dict(demand.placed)
+    chosen: list[tuple[int, HostSpace]] = []
+    for task in demand.tasks[:count]:
+        space = _best(demand, candidates, demand.avoid.get(task, ()), placed)
+        if space is None:
+            if demand.gang:
+                break
+            continue
+        space.take(demand.need)
+        placed[space.host] = placed.get(space.host, 0) + 1
+        chosen.append((task, space))
+    if demand.gang and len(chosen) < count:
+        for _, space in chosen:
+            space.take(demand.need, -1)
+        return []
+    return chosen
+
+
+def _best(
+    demand: Demand,
+    candidates: list[HostSpace],
+    barred: set[str] | tuple[()],
+    placed: dict[str, int],
+) -> HostSpace | None:
+    best, best_score = None, (True, 0.0, 0.0)
+    for space in candidates:
+        if not space.fits(demand.need) or space.host in barred:
+            continue
+        if demand.max_per_host and placed.get(space.host, 0) >= demand.max_per_host:
+            continue
+        far = bool(demand.data_rack) and space.rack != demand.data_rack
+        score = (far, space.risk, space.left_after(demand.need))
+        if best is None or score < best_score:
+            best, best_score = space, score
+    return best
+
+
+def _best_rack(demand: Demand, candidates: list[HostSpace]) -> list[HostSpace]:
+    """Return the hosts of the rack with room for most tasks."""
+    racks: dict[str, list[HostSpace]] = {}
+    for space in candidates:
+        racks.setdefault(space.rack, []).append(space)
+    return max(
+        racks.values(),
+        key=lambda hosts: sum(_times(space, demand.need) for space in hosts),
+        default=[],
+    )
+
+
+def _times(space: HostSpace, need: Resources) -> int:
+    room = Resources(space.cpu_m, space.memory_mb, space.accelerators)
+    return room.times_contained(need)
+
+
+def _would_fit(demand: Demand, by_host: dict[str, HostSpace]) -> bool:
+    hosts = demand.expired | (demand.allowed or frozenset())
+    candidates = _candidates(demand, by_host, hosts)
+    room = sum(_times(space, demand.need) for space in candidates)
+    return room >= (len(demand.tasks) if demand.gang else 1)
+
+
+def _reserve(demand: Demand, by_host: dict[str, HostSpace]) -> int:
+    """Keep later demands off the hosts that will have room for a gang soonest."""
+    names = demand.expired | (demand.allowed or frozenset())
+    pool = [by_host[host] for host in names if host in by_host]
+    if demand.allowed is None:
+        pool = list(by_host.values())
+    pool = [
+        space
+        for space in pool
+        if not space.reserved
+        and demand.need.fits_in(space.total)
+        and (not demand.label or demand.label in space.labels)
+    ]
+    pool.sort(key=lambda space: -space.cpu_m)
+    missing = len(demand.tasks)
+    for space in pool:
+        if missing <= 0:
+            break
+        space.reserved = True
+        missing -= space.total.times_contained(demand.need)
+    return 1
--- /dev/null
+++ b/src/primrosehub/policy/urgency.py
@@ -0,0 +1,58 @@
+"""The order in which waiting steps are served; no I/O and no clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from primrosehub.core.batch import StepSpec
+
+
+@dataclass(frozen=True, order=True, slots=True)
+class Urgency:
+    """Sort steps: within its team's share, still in time, least slack first."""
+
+    beyond_share: bool
+    late: bool
+    latest_start: float
+
+
+def chain_after(steps: tuple[StepSpec, ...]) -> list[float]:
+    """Return for each step the estimated time of the longest chain from its start."""
+    chains = [step.estimate_s for step in steps]
+    for number in range(len(steps) - 1, -1, -1):
+        for earlier in steps[number].after:
+            chains[earlier] = max(
+                chains[earlier], steps[earlier].estimate_s + chains[number]
+            )
+    return chains
+
+
+def objective_s(steps: tuple[StepSpec, ...], slack: float, target_s: float) -> float:
+    """Return how long a job may take from its submission."""
+    return slack * max(chain_after(steps), default=0.0) + target_s
+
+
+def urgency(
+    now: float, submitted_at: float, objective: float, chain: float, beyond_share: bool
+) -> Urgency:
+    """Return the urgency of a step with this chain from its own start on."""
+    latest = submitted_at + objective - chain
+    return Urgency(beyond_share, latest < now, latest)
+
+
+@dataclass(slots=True)
+class ShareMeter:
+    """Tell which of a team's jobs exceed its weight in jobs a second."""
+
+    tokens: float = 0.0
+    at: float = float("-inf")
+
+    def note_job(self, now: float, weight: float) -> bool:
+        """Take note of a job; tell whether it is beyond the team's share."""
+        burst = max(1.0, 2 * weight)
+        self.tokens = min(burst, self.tokens + (now - self.at) * weight)
+        self.at = now
+        if self.tokens < 1.0:
+            return True
+        self.tokens -= 1.0
+        return False
--- /dev/null
+++ b/src/primrosehub/services/_host_session.py
@@ -0,0 +1,368 @@
+"""The owner's conversation with one worker host: its lease, its reports, its orders."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import Event
+from gevent.queue import Queue
+
+from primrosehub.core.clock import steady_s
+from primrosehub.core.fleet import (
+    HostReport,
+    OrderDone,
+    OrderNotSent,
+    OrderRefused,
+    OrderUnanswered,
+    RefusalReason,
+    StartOrder,
+    StopOrder,
+    WorkerHost,
+)
+from primrosehub.core.logs import log
+from primrosehub.core.resources import NOTHING, Resources
+from primrosehub.kernel import TaskGroup
+from primrosehub.platform.hosts import HoldRefused, HostClient, HostSilent
+from primrosehub.policy.host_trust import HostTrust
+from primrosehub.services._job_book import TaskPhase, TaskRun
+
+if TYPE_CHECKING:
+    from primrosehub.services._owner_term import OwnerTerm
+
+LEASE_S = 6.0  # outlives a take-over (3 s) and a pause of all daemons
+CLOCK_RATE = 0.98  # the slowest that a host's clock may run
+START_VALID_S = 1.5  # after this an order that came late is refused
+WAIT_S = 1.0  # how long a host may hold back its report while nothing ends
+REPORT_TIMEOUT_S = 1.0  # beyond the wait
+ORDER_TIMEOUT_S = 0.8
+RETRY_S = 0.25
+DURABLE_WAIT_S = 0.5  # for the store to take the ends before the next report
+LANES = 3  # orders to one host under way at once
+MAX_IDLE = LANES + 2
+
+
+@dataclass(frozen=True, slots=True)
+class StartTask:
+    """Start an attempt that has been bound to this host."""
+
+    task: TaskRun
+    attempt: int
+    planned_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class StopAttempt:
+    """Stop an attempt, known or not, until the host has answered."""
+
+    task: TaskRun | None
+    order: StopOrder
+    reason: str
+
+
+@dataclass(slots=True)
+class _Clock:
+    """Hold one reading of the host's clock and when it was asked for and came."""
+
+    reading_ms: int
+    sent_at: float
+    received_at: float
+
+    def latest_ms(self, now: float) -> int:
+        """Return the most that the host's clock can show now."""
+        return self.reading_ms + int((now - self.sent_at) * 1000)
+
+    def earliest_ms(self, now: float) -> int:
+        """Return the least that the host's clock can show now."""
+        return self.reading_ms + int((now - self.received_at) * 1000 * CLOCK_RATE)
+
+
+class HostSession:
+    """Keep one worker host leased and send it orders in a few lanes."""
+
+    def __init__(self, term: OwnerTerm, info: WorkerHost) -> None:
+        self._term = term
+        self.info = info
+        self.client = HostClient(info.host, info.address, term.epoch, MAX_IDLE)
+        self.bound: dict[TaskRun, None] = {}
+        self.foreign: dict[StopOrder, Resources] = {}
+        self.trust = HostTrust()
+        self.listed = True
+        self.unlisted_at = 0.0
+        self.enrolled = False
+        self.reached = False
+        self.closed = False
+        self.answering = False
+        self.noted_end = 0
+        self.durable_end = 0
+        self.durable = Event()
+        self._born_ms = 0
+        self._clock: _Clock | None = None
+        self._lease_until_ms = 0
+        self._orders: Queue = Queue()
+        self._opened_at = steady_s()
+        self._silent_since = steady_s()
+        self._unhealthy_until = 0.0
+
+    @property
+    def host(self) -> str:
+        """Return the host's id."""
+        return self.info.host
+
+    @property
+    def used(self) -> Resources:
+        """Return the room in use, or possibly in use, on the host."""
+        used = NOTHING
+        for task in self.bound:
+            used = used + task.step.spec.need
+        for need in self.foreign.values():
+            used = used + need
+        return used
+
+    def accepts_starts(self, now: float, listing_grace_s: float) -> bool:
+        """Tell whether new attempts may be sent there."""
+        listed = self.listed or now - self.unlisted_at < listing_grace_s
+        return (
+            listed
+            and self.enrolled
+            and self.reached
+            and self.answering
+            and not self.info.draining
+            and now >= self._unhealthy_until
+            and self.trust.usable(now)
+        )
+
+    def open(self, tasks: TaskGroup) -> None:
+        """Spawn the tasks of this host's connections."""
+        tasks.spawn_lasting(f"host {self.host}", self._keep_lease)
+        for number in range(LANES):
+            tasks.spawn_lasting(f"orders {self.host} {number}", self._send_orders)
+
+    def close(self) -> None:
+        """End the conversation."""
+        self.closed = True
+        self.client.close()
+        for _ in range(LANES):
+            self._orders.put(None)
+
+    def start(self, task: TaskRun) -> None:
+        """Send a start order for a task that is bound to this host."""
+        self._orders.put(StartTask(task, task.attempt, steady_s()))
+
+    def stop(self, task: TaskRun, reason: str) -> None:
+        """Send a stop order for the task's attempt and follow it up."""
+        task.phase = (
+            TaskPhase.DONE if task.phase is TaskPhase.DONE else TaskPhase.STOPPING
+        )
+        order = StopOrder(task.id, task.attempt)
+        self._orders.put(StopAttempt(task, order, reason))
+
+    def stop_foreign(self, order: StopOrder, need: Resources, reason: str) -> None:
+        """Stop an attempt that this owner has no use for, and count its room."""
+        if order not in self.foreign:
+            self.foreign[order] = need
+            self._orders.put(StopAttempt(None, order, reason))
+
+    def lease_surely_over(self, now: float) -> bool:
+        """Tell whether whatever this owner let run there has lapsed."""
+        if self._clock is None:
+            return not self.bound
+        return self._clock.earliest_ms(now) > self._lease_until_ms
+
+    @property
+    def silent_s(self) -> float:
+        """Return how long the host has not answered."""
+        return 0.0 if self.answering else steady_s() - self._silent_since
+
+    def _keep_lease(self) -> None:
+        while not self.closed:
+            if not self._term.ownership.may_order:
+                gevent.sleep(0.05)
+                continue
+            pending = self.noted_end > self.durable_end
+            wait_s = 0.0 if pending or not self.reached else WAIT_S
+            self.durable.clear()
+            try:
+                self._ask(wait_s)
+            except HostSilent as error:
+                self._note_silence(str(error))
+                gevent.sleep(RETRY_S)
+            except HoldRefused as error:
+                self._note_refusal(error.reason)
+                gevent.sleep(RETRY_S)
+            else:
+                if self.noted_end > self.durable_end:
+                    self.durable.wait(DURABLE_WAIT_S)
+
+    def _ask(self, wait_s: float) -> None:
+        sent = steady_s()
+        lease_until_ms = 0
+        if self._clock is not None:
+            lease_until_ms = self._clock.latest_ms(sent) + int(LEASE_S * 1000)
+            self._lease_until_ms = max(self._lease_until_ms, lease_until_ms)
+        report = self.client.hold(
+            self.durable_end, lease_until_ms, wait_s, wait_s + REPORT_TIMEOUT_S
+        )
+        received = steady_s()
+        if self.closed:
+            return
+        if self._born_ms and report.born_ms != self._born_ms:
+            log("host_reborn", host=self.host, born=report.born_ms)
+            self.noted_end = self.durable_end = 0
+            self._lease_until_ms = 0
+            self._term.host_lost_all(self, "reborn")
+        self._born_ms = report.born_ms
+        self._clock = _Clock(report.clock_ms, sent, received)
+        if not self.answering:
+            self.answering = True
+            log(
+                "host_reached",
+                host=self.host,
+                running=len(report.running),
+                ended=len(report.ended),
+                silent_s=round(received - self._silent_since, 3),
+            )
+        first = not self.reached
+        self.reached = True
+        self._term.apply_report(self, report, sent)
+        if first:
+            self._term.host_reached(self)
+
+    def _note_silence(self, reason: str) -> None:
+        now = steady_s()
+        if self.answering:
+            self.answering = False
+            self._silent_since = now
+            log("host_silent", host=self.host, reason=reason)
+        if self.bound and self._clock and self.lease_surely_over(now):
+            self._term.host_lost_all(self, "lease over")
+
+    def _note_refusal(self, reason: RefusalReason) -> None:
+        log("lease_refused", host=self.host, reason=reason)
+        match reason:
+            case RefusalReason.STALE_EPOCH:
+                self._term.ownership.deposed(f"refused by {self.host}")
+            case RefusalReason.OTHER_INCARNATION:
+                self._term.host_replaced(self)
+            case _:
+                self._note_silence(str(reason))
+
+    def _send_orders(self) -> None:
+        while not self.closed:
+            match self._orders.get():
+                case StartTask(task, attempt, planned_at):
+                    self._send_start(task, attempt, planned_at)
+                case StopAttempt(task, order, reason):
+                    self._send_stop(task, order, reason)
+
+    def _send_start(self, task: TaskRun, attempt: int, planned_at: float) -> None:
+        if not self._still_wanted(task, attempt):
+            return
+        order = self._start_order(task)
+        sent = steady_s()
+        outcome = self.client.start(order, ORDER_TIMEOUT_S)
+        if isinstance(outcome, OrderUnanswered):
+            log("start_unanswered", **_where(task), host=self.host)
+            if self._still_wanted(task, attempt):
+                again = self.client.start(order, ORDER_TIMEOUT_S)
+                outcome = again if isinstance(again, OrderDone) else outcome
+        if self.closed or task.host != self.host or task.attempt != attempt:
+            return
+        match outcome:
+            case OrderDone():
+                self._term.started(self, task, sent, planned_at)
+            case OrderRefused(reason):
+                self._refused(task, reason)
+            case OrderNotSent(detail):
+                self._term.not_started(self, task, detail)
+            case OrderUnanswered():
+                self.stop(task, "start unanswered")
+
+    def _still_wanted(self, task: TaskRun, attempt: int) -> bool:
+        """Tell whether to send a start; free its room if it was never sent."""
+        if self.closed or task.host != self.host or task.attempt != attempt:
+            return False
+        if task.phase is not TaskPhase.STARTING:
+            return False
+        if not self._term.ownership.may_order or not self.answering:
+            self._term.not_started(self, task, "host or ownership in doubt")
+            return False
+        return True
+
+    def _start_order(self, task: TaskRun) -> StartOrder:
+        step = task.step
+        ticket = step.tickets.get(self.host)
+        now = steady_s()
+        valid_until = self._clock.latest_ms(now) + int(START_VALID_S * 1000)
+        self._lease_until_ms = max(self._lease_until_ms, valid_until)
+        return StartOrder(
+            task=task.id,
+            attempt=task.attempt,
+            command=step.job.accepted.spec.command,
+            checkpoint=task.checkpoint,
+            ticket=ticket.value if ticket else "",
+            valid_until_ms=valid_until,
+        )
+
+    def _refused(self, task: TaskRun, reason: RefusalReason) -> None:
+        log("start_refused", **_where(task), host=self.host, reason=reason)
+        match reason:
+            case RefusalReason.STALE_EPOCH:
+                self._term.ownership.deposed(f"refused by {self.host}")
+                return
+            case RefusalReason.NO_TICKET:
+                task.step.tickets.pop(self.host, None)
+            case RefusalReason.UNHEALTHY:
+                self._unhealthy_until = steady_s() + 1.0
+            case RefusalReason.OTHER_INCARNATION:
+                self._term.host_replaced(self)
+                return
+        self._term.not_started(self, task, reason)
+
+    def _send_stop(self, task: TaskRun | None, order: StopOrder, reason: str) -> None:
+        while not self.closed:
+            if task is not None and (
+                task.host != self.host or task.attempt != order.attempt
+            ):
+                return
+            if self._term.ownership.may_order:
+                outcome = self.client.stop(order, ORDER_TIMEOUT_S)
+                if self._stop_settled(task, order, outcome, reason):
+                    return
+            gevent.sleep(RETRY_S)
+
+    def _stop_settled(
+        self, task: TaskRun | None, order: StopOrder, outcome: object, reason: str
+    ) -> bool:
+        match outcome:
+            case OrderDone():
+                log(
+                    "stopping", job=order.task.job, attempt=order.attempt, reason=reason
+                )
+                if task is not None:
+                    task.stop_answered_at = steady_s()
+                return True
+            case OrderRefused(RefusalReason.STALE_EPOCH):
+                self._term.ownership.deposed(f"refused by {self.host}")
+                return True
+            case OrderRefused(RefusalReason.OTHER_INCARNATION):
+                self._term.host_replaced(self)
+                return True
+        return False
+
+
+def _where(task: TaskRun) -> dict[str, object]:
+    return {
+        "job": task.id.job,
+        "step": task.id.step,
+        "task": task.id.index,
+        "attempt": task.attempt,
+    }
+
+
+def report_lists(report: HostReport, task: TaskRun) -> bool:
+    """Tell whether a report shows the task's attempt as running."""
+    return any(
+        run.task == task.id and run.attempt == task.attempt for run in report.running
+    )
--- /dev/null
+++ b/src/primrosehub/services/_job_book.py
@@ -0,0 +1,381 @@
+"""The owner's jobs, steps and tasks in memory, and how ends of attempts change them.
+
+Nothing here does I/O or reads a clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from primrosehub.core.batch import (
+    FINAL_STATES,
+    AcceptedJob,
+    JobProgress,
+    JobState,
+    StepSpec,
+    TaskId,
+)
+from primrosehub.core.clusterconfig import Queue
+from primrosehub.core.fleet import EndKind, Ticket
+from primrosehub.core.resources import NOTHING, Resources
+
+ATTEMPTS_PER_EPOCH = 1000  # attempts of different epochs never share a number
+
+
+class TaskPhase(Enum):
+    """Name what the owner believes of a task."""
+
+    WAITING = auto()
+    STARTING = auto()
+    RUNNING = auto()
+    STOPPING = auto()
+    DONE = auto()
+
+
+@dataclass(slots=True, eq=False)
+class TaskRun:
+    """Hold one task; ``host`` is set while an attempt may use room there.
+
+    ``unsure`` marks a task that an earlier owner may have started somewhere.
+    """
+
+    id: TaskId
+    step: StepRun
+    phase: TaskPhase = TaskPhase.WAITING
+    attempt: int = 0
+    host: str = ""
+    failures: int = 0
+    checkpoint: str = ""
+    failed_on: set[str] = field(default_factory=set)
+    unsure: bool = False
+    started_at: float = 0.0
+    percent: int = 0
+    percent_at: float = 0.0
+    first_percent: int = -1
+    stop_answered_at: float | None = None
+    missing: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class StepRun:
+    """Hold one occurrence of a step."""
+
+    job: JobRun
+    occurrence: int
+    number: int
+    spec: StepSpec
+    tasks: list[TaskRun] = field(default_factory=list)
+    blockers: set[int] = field(default_factory=set)
+    due_ms: int = 0
+    remaining: int = 0
+    tickets: dict[str, Ticket] = field(default_factory=dict)
+    allowed: frozenset[str] | None = None
+    advising: bool = False
+    advised_at: float = float("-inf")
+
+    @property
+    def waiting(self) -> list[TaskRun]:
+        """Return the tasks that no attempt of runs or may run."""
+        return [
+            task
+            for task in self.tasks
+            if task.phase is TaskPhase.WAITING and not task.host and not task.unsure
+        ]
+
+
+@dataclass(slots=True, eq=False)
+class JobRun:
+    """Hold one job; ``learned_at`` is when this owner first heard of it.
+
+    ``submitted_at`` is when the caller submitted it, on this owner's steady clock.
+    """
+
+    accepted: AcceptedJob
+    queue: Queue | None
+    learned_at: float
+    found_at_take_over: bool
+    steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
+    state: JobState = JobState.QUEUED
+    shown: JobState = JobState.QUEUED
+    cancelled: bool = False
+    begun: bool = False
+    submitted_at: float = 0.0
+    beyond_share: bool = False
+
+    @property
+    def final(self) -> bool:
+        """Tell whether nothing of the job is to start any more."""
+        return self.cancelled or self.state in FINAL_STATES
+
+
+@dataclass(frozen=True, slots=True)
+class StopTask:
+    """Ask for a task's attempt to be stopped, and say why."""
+
+    task: TaskRun
+    reason: str
+
+
+class JobBook:
+    """Keep all jobs that the owner knows of."""
+
+    def __init__(self, epoch: int) -> None:
+        self._first_attempt = (epoch - 1) * ATTEMPTS_PER_EPOCH + 1
+        self.jobs: dict[str, JobRun] = {}
+        self.open_steps: dict[tuple[str, int, int], StepRun] = {}
+        self.dirty: set[str] = set()
+        self.used_by_team: dict[str, Resources] = {}
+
+    def add(
+        self,
+        accepted: AcceptedJob,
+        queue: Queue | None,
+        progress: JobProgress | None,
+        learned_at: float,
+        found_at_take_over: bool,
+    ) -> JobRun:
+        """Take note of a stored job; a known one is returned as it is."""
+        known = self.jobs.get(accepted.job)
+        if known is not None:
+            return known
+        job = JobRun(accepted, queue, learned_at, found_at_take_over)
+        self.jobs[accepted.job] = job
+        if progress is not None and progress.state in FINAL_STATES:
+            job.state = job.shown = progress.state
+            return job
+        self._add_steps(job)
+        if progress is not None:
+            self._restore(job, progress)
+        if found_at_take_over:
+            for step in job.steps.values():
+                for task in step.tasks:
+                    task.unsure = task.phase is TaskPhase.WAITING
+        return job
+
+    def cancel(self, job_id: str) -> list[StopTask]:
+        """Mark a job as cancelled; return what has to be stopped."""
+        job = self.jobs.get(job_id)
+        if job is None or job.final:
+            return []
+        job.cancelled = True
+        job.state = JobState.CANCELLED
+        self._close(job)
+        return self._stops(job, "cancelled")
+
+    def task(self, task_id: TaskId) -> TaskRun | None:
+        """Return a task, or None for an unknown one."""
+        job = self.jobs.get(task_id.job)
+        step = job.steps.get((task_id.occurrence, task_id.step)) if job else None
+        if step is None or not 0 <= task_id.index < len(step.tasks):
+            return None
+        return step.tasks[task_id.index]
+
+    def bind(self, task: TaskRun, host: str, attempt: int, phase: TaskPhase) -> None:
+        """Count a task's need against a host and its team."""
+        task.host, task.attempt, task.phase = host, attempt, phase
+        task.unsure = False
+        task.stop_answered_at, task.missing = None, 0
+        task.percent, task.first_percent = 0, -1
+        task.step.job.begun = True
+        self._count(task, 1)
+
+    def unbind(self, task: TaskRun) -> None:
+        """Take note that no attempt of the task uses room any more."""
+        self._count(task, -1)
+        task.host = ""
+        task.stop_answered_at = None
+
+    def next_attempt(self, tasks: Iterable[TaskRun]) -> int:
+        """Return a number above all attempts of the tasks so far."""
+        tasks = list(tasks)
+        highest = max(task.attempt for task in tasks) + 1
+        if tasks[0].step.job.found_at_take_over:
+            return max(highest, self._first_attempt)
+        return highest
+
+    def end_done(self, task: TaskRun) -> list[StopTask]:
+        """Take note that a task, or a gang, has ended well."""
+        step = task.step
+        finished = step.tasks if step.spec.gang else [task]
+        stops = []
+        for one in finished:
+            if one.phase is not TaskPhase.DONE:
+                if one.host and not step.spec.gang:
+                    stops.append(StopTask(one, "already done"))
+                one.phase = TaskPhase.DONE
+                one.unsure = False
+                step.remaining -= 1
+        job = step.job
+        self.dirty.add(job.accepted.job)
+        if step.remaining == 0:
+            self.open_steps.pop(_key(step), None)
+            self._unblock(step)
+            if all(one.remaining == 0 for one in job.steps.values()):
+                self._finish(job, JobState.COMPLETED)
+        return stops
+
+    def end_failed(self, task: TaskRun, host: str) -> list[StopTask]:
+        """Take note that an attempt failed; a job out of attempts is stopped."""
+        step = task.step
+        counted = step.tasks[0] if step.spec.gang else task
+        counted.failures += 1
+        for one in step.tasks if step.spec.gang else (task,):
+            one.failed_on.add(host)
+        job = step.job
+        self.dirty.add(job.accepted.job)
+        limit = job.queue.max_attempts if job.queue else 1
+        if step.spec.long_running or counted.failures < limit or job.final:
+            return []
+        self._finish(job, JobState.FAILED)
+        return self._stops(job, "job failed")
+
+    def progress_of(self, job: JobRun) -> JobProgress:
+        """Return the durable part of a job's progress."""
+        if job.state in FINAL_STATES:
+            return JobProgress(state=job.state)
+        done: dict[str, list[int]] = {}
+        failures: dict[str, int] = {}
+        checkpoints: dict[str, str] = {}
+        for (occurrence, number), step in job.steps.items():
+            ended = [t.id.index for t in step.tasks if t.phase is TaskPhase.DONE]
+            if ended:
+                done[f"{occurrence}.{number}"] = ended
+            for task in step.tasks:
+                name = f"{occurrence}.{number}.{task.id.index}"
+                if task.failures:
+                    failures[name] = task.failures
+                if task.checkpoint and not task.host:
+                    checkpoints[name] = task.checkpoint
+        return JobProgress(JobState.RUNNING, done, failures, checkpoints)
+
+    def settle(self) -> list[StopTask]:
+        """Free tasks that no host runs, once no host is left unasked."""
+        stops = []
+        for job in self.jobs.values():
+            if job.final:
+                continue
+            for step in job.steps.values():
+                for task in step.tasks:
+                    task.unsure = False
+                stops += _broken_gang(step)
+        return stops
+
+    def waiting_in(self, queue: str) -> int:
+        """Return how many of a queue's jobs have not begun."""
+        return sum(
+            1
+            for job in self.jobs.values()
+            if not job.begun and not job.final and job.accepted.queue == queue
+        )
+
+    def _add_steps(self, job: JobRun) -> None:
+        spec = job.accepted.spec
+        for occurrence in range(max(1, spec.occurrences)):
+            due = spec.first_due_ms + occurrence * spec.interval_ms
+            for number, step_spec in enumerate(spec.steps):
+                step = StepRun(job, occurrence, number, step_spec)
+                step.blockers = set(step_spec.after)
+                step.due_ms = due if spec.occurrences else 0
+                step.remaining = step_spec.tasks
+                step.tasks = [
+                    TaskRun(TaskId(job.accepted.job, occurrence, number, index), step)
+                    for index in range(step_spec.tasks)
+                ]
+                job.steps[(occurrence, number)] = step
+                if not step.blockers:
+                    self.open_steps[_key(step)] = step
+
+    def _restore(self, job: JobRun, progress: JobProgress) -> None:
+        job.begun = True
+        for name, count in progress.failures.items():
+            self._task_named(job, name).failures = count
+        for name, checkpoint in progress.checkpoints.items():
+            self._task_named(job, name).checkpoint = checkpoint
+        for name, indexes in progress.done.items():
+            occurrence, number = (int(part) for part in name.split("."))
+            step = job.steps[(occurrence, number)]
+            for index in indexes:
+                if step.tasks[index].phase is not TaskPhase.DONE:
+                    self.end_done(step.tasks[index])
+
+    def _task_named(self, job: JobRun, name: str) -> TaskRun:
+        occurrence, number, index = (int(part) for part in name.split("."))
+        return job.steps[(occurrence, number)].tasks[index]
+
+    def _unblock(self, done: StepRun) -> None:
+        for (occurrence, _), step in done.job.steps.items():
+            if occurrence == done.occurrence and done.number in step.blockers:
+                step.blockers.discard(done.number)
+                if not step.blockers and step.remaining:
+                    self.open_steps[_key(step)] = step
+
+    def _finish(self, job: JobRun, state: JobState) -> None:
+        job.state = state
+        self._close(job)
+
+    def _close(self, job: JobRun) -> None:
+        self.dirty.add(job.accepted.job)
+        for step in job.steps.values():
+            self.open_steps.pop(_key(step), None)
+
+    def _stops(self, job: JobRun, reason: str) -> list[StopTask]:
+        return [
+            StopTask(task, reason)
+            for step in job.steps.values()
+            for task in step.tasks
+            if task.host
+        ]
+
+    def _count(self, task: TaskRun, sign: int) -> None:
+        team = task.step.job.accepted.team
+        used = self.used_by_team.get(team, NOTHING)
+        self.used_by_team[team] = used + task.step.spec.need * sign
+
+
+def _key(step: StepRun) -> tuple[str, int, int]:
+    return (step.job.accepted.job, step.occurrence, step.number)
+
+
+def _broken_gang(step: StepRun) -> list[StopTask]:
+    """Return what to stop of a gang that does not run whole under one attempt."""
+    if not step.spec.gang or step.remaining == 0:
+        return []
+    bound = [task for task in step.tasks if task.host]
+    if not bound:
+        return []
+    if len(bound) == len(step.tasks) and len({task.attempt for task in bound}) == 1:
+        return []
+    return [
+        StopTask(task, "gang incomplete")
+        for task in bound
+        if task.phase is not TaskPhase.STOPPING
+    ]
+
+
+def apply_end(
+    book: JobBook, task: TaskRun, kind: EndKind, host: str, checkpoint: str
+) -> list[StopTask]:
+    """Take note of an end of the task's current attempt; return what to stop."""
+    book.unbind(task)
+    if task.phase is TaskPhase.DONE:
+        return []
+    task.phase = TaskPhase.WAITING
+    if checkpoint:
+        keep_checkpoint(task, checkpoint)
+    match kind:
+        case EndKind.DONE:
+            return book.end_done(task)
+        case EndKind.FAILED:
+            stops = book.end_failed(task, host)
+        case EndKind.STOPPED | EndKind.LAPSED | EndKind.BROKEN | EndKind.ALONE:
+            book.dirty.add(task.id.job)
+            stops = []
+    return stops + _broken_gang(task.step)
+
+
+def keep_checkpoint(task: TaskRun, checkpoint: str) -> None:
+    """Set the checkpoint from which the task, or its whole gang, goes on."""
+    for one in task.step.tasks if task.step.spec.gang else (task,):
+        one.checkpoint = checkpoint
--- /dev/null
+++ b/src/primrosehub/services/_planner.py
@@ -0,0 +1,257 @@
+"""Turn waiting steps into orders: gather demands, plan, bind and send."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import Event
+
+from primrosehub.core.clock import steady_s, unix_ms
+from primrosehub.core.clusterconfig import AdviceCost, ClusterConfig
+from primrosehub.core.fleet import Ticket
+from primrosehub.core.logs import log
+from primrosehub.core.resources import NOTHING, Resources
+from primrosehub.policy.packing import Demand, HostSpace, Placement, TeamRoom, plan
+from primrosehub.policy.urgency import Urgency, chain_after, objective_s, urgency
+from primrosehub.services._host_session import HostSession
+from primrosehub.services._job_book import StepRun, TaskPhase
+
+if TYPE_CHECKING:
+    from primrosehub.services._owner_term import OwnerTerm
+
+GATHER_S = 0.004  # changes within this time share a plan
+IDLE_S = 0.25  # plan at least so often: due times and suspensions pass unnoticed
+TICKET_MARGIN_S = 0.3  # a ticket must outlive the order's way to the host
+ADVISE_HOSTS = 40  # named in one call: a call takes longer with each
+READVISE_S = 0.3  # between calls for one step
+LISTING_GRACE_S = 2.5
+_DEFAULT_TARGET_S = 1.0
+
+
+class Planner:
+    """Plan whenever something has changed."""
+
+    def __init__(self, term: OwnerTerm) -> None:
+        self._term = term
+        self.changed = Event()
+
+    def run(self) -> None:
+        """Plan until the term ends."""
+        while True:
+            self.changed.wait(IDLE_S)
+            gevent.sleep(GATHER_S)
+            self.changed.clear()
+            if self._term.ownership.may_order:
+                self._plan()
+
+    def _plan(self) -> None:
+        began = steady_s()
+        term = self._term
+        config = term.config.current
+        steps = self._eligible(began, unix_ms())
+        if not steps:
+            return
+        by_service: dict[str, list[StepRun]] = {}
+        for step in steps:
+            by_service.setdefault(_service(step, config), []).append(step)
+        teams = _team_room(config, term.book.used_by_team)
+        for service, group in by_service.items():
+            spaces = self._spaces(service, began)
+            self._plan_service(config, began, group, spaces, teams)
+        term.metrics.observe("plan_seconds", steady_s() - began)
+
+    def _eligible(self, now: float, now_ms: int) -> list[StepRun]:
+        term = self._term
+        confirmed = term.ownership.confirmed_by_store_at
+        ranked = []
+        for step in term.book.open_steps.values():
+            job = step.job
+            if job.final or step.due_ms > now_ms:
+                continue
+            if not job.found_at_take_over and job.learned_at > confirmed:
+                continue
+            waiting = step.waiting
+            if not waiting or (step.spec.gang and len(waiting) < len(step.tasks)):
+                continue
+            ranked.append((self._urgency(step, now), job.accepted.job, id(step), step))
+        ranked.sort()
+        return [row[-1] for row in ranked]
+
+    def _urgency(self, step: StepRun, now: float) -> Urgency:
+        job = step.job
+        steps = job.accepted.spec.steps
+        slack = job.queue.slack_factor if job.queue else 1.0
+        target = job.queue.target_s if job.queue else _DEFAULT_TARGET_S
+        return urgency(
+            now,
+            job.submitted_at,
+            objective_s(steps, slack, target),
+            chain_after(steps)[step.number],
+            job.beyond_share,
+        )
+
+    def _spaces(self, service: str, now: float) -> list[HostSpace]:
+        return [
+            _space(session)
+            for session in self._term.sessions.values()
+            if session.info.service == service
+            and session.accepts_starts(now, LISTING_GRACE_S)
+        ]
+
+    def _plan_service(
+        self,
+        config: ClusterConfig,
+        now: float,
+        steps: list[StepRun],
+        spaces: list[HostSpace],
+        teams: TeamRoom,
+    ) -> None:
+        demands = []
+        for step in steps:
+            advice = step.job.queue.advice if step.job.queue else None
+            if advice is not None and step.allowed is None:
+                self._ask_advice(step, advice, spaces, now)
+                continue
+            demands.append(_demand(step, advice is not None, now))
+        result = plan(demands, spaces, teams)
+        self._send(result.placements)
+        for step in result.lacking_tickets:
+            if step.job.queue and step.job.queue.advice:
+                self._ask_advice(step, step.job.queue.advice, spaces, now)
+
+    def _send(self, placements: tuple[Placement, ...]) -> None:
+        term = self._term
+        gang_attempts: dict[int, int] = {}
+        for placement in placements:
+            step: StepRun = placement.key
+            task = step.tasks[placement.task]
+            attempt = gang_attempts.get(id(step))
+            if attempt is None:
+                members = step.tasks if step.spec.gang else [task]
+                attempt = term.book.next_attempt(members)
+                if step.spec.gang:
+                    gang_attempts[id(step)] = attempt
+            session = term.sessions[placement.host]
+            term.book.bind(task, session.host, attempt, TaskPhase.STARTING)
+            session.bound[task] = None
+            session.start(task)
+
+    def _ask_advice(
+        self, step: StepRun, cost: AdviceCost, spaces: list[HostSpace], now: float
+    ) -> None:
+        if step.advising or now - step.advised_at < READVISE_S:
+            return
+        if step.allowed is None:
+            hosts = _best_to_name(step, spaces)
+        else:
+            hosts = sorted(step.allowed)
+        if not hosts:
+            return
+        step.advising, step.advised_at = True, now
+        self._term.tasks.spawn("advice", self._advise, step, cost, hosts)
+
+    def _advise(self, step: StepRun, cost: AdviceCost, hosts: list[str]) -> None:
+        began = steady_s()
+        try:
+            advice = self._term.advising.advise(
+                step.job.accepted.job,
+                step.occurrence,
+                step.number,
+                hosts,
+                cost.decide_s + cost.per_host_s * len(hosts),
+            )
+        finally:
+            step.advising = False
+        step.advised_at = steady_s()
+        if advice is None:
+            return
+        until = step.advised_at + (advice.valid_s or cost.valid_s)
+        for host, value in advice.tickets.items():
+            step.tickets[host] = Ticket(value, until)
+        step.allowed = (step.allowed or frozenset()) | frozenset(advice.tickets)
+        self._term.metrics.observe("advice_seconds", step.advised_at - began)
+        log(
+            "advised",
+            job=step.job.accepted.job,
+            step=step.number,
+            asked=len(hosts),
+            allowed=len(advice.tickets),
+            took_ms=round((step.advised_at - began) * 1000),
+        )
+        self.changed.set()
+
+
+def _service(step: StepRun, config: ClusterConfig) -> str:
+    """Return the service of the step's queue now, or at submission if it is gone."""
+    queue = config.queue_named(step.job.accepted.queue)
+    if queue is not None:
+        step.job.queue = queue
+        return queue.service
+    return step.job.accepted.service
+
+
+def _space(session: HostSession) -> HostSpace:
+    free = session.info.room - session.used
+    return HostSpace(
+        host=session.host,
+        cpu_m=free.cpu_m,
+        memory_mb=free.memory_mb,
+        accelerators=free.accelerators,
+        total=session.info.room,
+        rack=session.info.rack,
+        labels=session.info.labels,
+        risk=session.trust.risk,
+    )
+
+
+def _team_room(config: ClusterConfig, used: dict[str, Resources]) -> TeamRoom:
+    limits = {
+        name: team.limit for name, team in config.teams.items() if team.limit != NOTHING
+    }
+    left = {name: limit - used.get(name, NOTHING) for name, limit in limits.items()}
+    return TeamRoom(left, limits)
+
+
+def _demand(step: StepRun, advised: bool, now: float) -> Demand:
+    waiting = step.waiting
+    placed: dict[str, int] = {}
+    if step.spec.max_per_host:
+        for task in step.tasks:
+            if task.host:
+                placed[task.host] = placed.get(task.host, 0) + 1
+    allowed, expired = None, frozenset()
+    if advised:
+        allowed = frozenset(
+            host
+            for host, ticket in step.tickets.items()
+            if ticket.valid_until - now > TICKET_MARGIN_S
+        )
+        expired = (step.allowed or frozenset()) - allowed
+    return Demand(
+        key=step,
+        team=step.job.accepted.team,
+        need=step.spec.need,
+        tasks=[task.id.index for task in waiting],
+        gang=step.spec.gang,
+        label=step.spec.label,
+        data_rack=step.spec.data_rack,
+        one_rack=step.spec.one_rack,
+        max_per_host=step.spec.max_per_host,
+        avoid={task.id.index: task.failed_on for task in waiting if task.failed_on},
+        allowed=allowed,
+        expired=expired,
+        placed=placed,
+    )
+
+
+def _best_to_name(step: StepRun, spaces: list[HostSpace]) -> list[str]:
+    """Return the hosts worth asking about, those with most free room first."""
+    fitting = [
+        space
+        for space in spaces
+        if step.spec.need.fits_in(space.total)
+        and (not step.spec.label or step.spec.label in space.labels)
+    ]
+    fitting.sort(key=lambda space: -space.cpu_m)
+    return [space.host for space in fitting[:ADVISE_HOSTS]]
--- /dev/null
+++ b/src/primrosehub/services/_progress_writer.py
@@ -0,0 +1,106 @@
+"""Store the progress of jobs in batches, before ends are acknowledged to hosts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import Event
+
+from primrosehub.border.codec import encode
+from primrosehub.core.clock import steady_s
+from primrosehub.core.logs import log
+from primrosehub.core.rows import PutRow, RowKey, RowsTransaction, StoreRefused
+from primrosehub.services.names.cluster import OwnershipLost
+
+if TYPE_CHECKING:
+    from primrosehub.services._host_session import HostSession
+    from primrosehub.services._owner_term import OwnerTerm
+
+GATHER_S = 0.02  # ends within this time share a transaction
+MAX_ROWS = 90  # below the store's 100 entries with the owner's row
+RETRY_S = 0.1
+PROGRESS_TABLE = "progress"
+OWNER_PART = "s"
+ROSTER_KEY = RowKey("roster", OWNER_PART, "hosts")
+
+
+class ProgressWriter:
+    """Write changed jobs and the roster, then let ends be acknowledged."""
+
+    def __init__(self, term: OwnerTerm) -> None:
+        self._term = term
+        self._wake = Event()
+        self._roster: dict[str, str] = {}
+
+    def wake(self) -> None:
+        """Write soon."""
+        self._wake.set()
+
+    def run(self) -> None:
+        """Write whenever there is something to write."""
+        while True:
+            self._wake.wait()
+            gevent.sleep(GATHER_S)
+            self._wake.clear()
+            try:
+                self.flush()
+            except StoreRefused as error:
+                log("progress_not_stored", reason=str(error)[:120])
+                gevent.sleep(RETRY_S)
+                self._wake.set()
+            except OwnershipLost:
+                return
+
+    def flush(self) -> None:
+        """Store all progress; raise StoreRefused or OwnershipLost."""
+        term = self._term
+        roster_changed = self._roster_wanted() != self._roster
+        marks = [(session, session.noted_end) for session in term.sessions.values()]
+        while term.book.dirty or roster_changed:
+            self._write_some(roster_changed)
+            roster_changed = False
+        for session, mark in marks:
+            if mark > session.durable_end:
+                session.durable_end = min(mark, session.noted_end)
+                session.durable.set()
+
+    def _roster_wanted(self) -> dict[str, str]:
+        return {host: s.info.address for host, s in self._term.sessions.items()}
+
+    def _write_some(self, roster_changed: bool) -> None:
+        term, book = self._term, self._term.book
+        began = steady_s()
+        ids = [book.dirty.pop() for _ in range(min(MAX_ROWS, len(book.dirty)))]
+        jobs = [book.jobs[job_id] for job_id in ids if job_id in book.jobs]
+        states = [job.state for job in jobs]
+        writes = [
+            PutRow(
+                RowKey(PROGRESS_TABLE, OWNER_PART, job.accepted.job),
+                encode(book.progress_of(job)),
+            )
+            for job in jobs
+        ]
+        roster = self._roster_wanted()
+        enrolled: list[HostSession] = []
+        if roster_changed:
+            writes.append(PutRow(ROSTER_KEY, encode_roster(roster)))
+            enrolled = list(term.sessions.values())
+        try:
+            term.ownership.commit(RowsTransaction(writes=tuple(writes)))
+        except BaseException:
+            book.dirty.update(ids)
+            raise
+        for job, state in zip(jobs, states, strict=True):
+            job.shown = state
+        if roster_changed:
+            self._roster = roster
+            for session in enrolled:
+                session.enrolled = True
+            term.wake()
+        term.metrics.observe("progress_write_seconds", steady_s() - began)
+
+
+def encode_roster(roster: dict[str, str]) -> bytes:
+    """Return the stored form of the hosts that may hold work: id to address."""
+    return encode(roster)
--- /dev/null
+++ b/src/primrosehub/services/_reports.py
@@ -0,0 +1,165 @@
+"""Compare a worker host's report with what the owner believes, and act on it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from primrosehub.core.clock import steady_s
+from primrosehub.core.fleet import (
+    EndedAttempt,
+    EndKind,
+    HostReport,
+    RunningAttempt,
+    StopOrder,
+)
+from primrosehub.core.logs import log
+from primrosehub.core.resources import NOTHING
+from primrosehub.policy.host_trust import is_stuck
+from primrosehub.services._host_session import HostSession
+from primrosehub.services._job_book import (
+    TaskPhase,
+    TaskRun,
+    apply_end,
+    keep_checkpoint,
+)
+
+if TYPE_CHECKING:
+    from primrosehub.services._owner_term import OwnerTerm
+
+MISSING_REPORTS = 2  # so many reports without a started attempt mean that it is gone
+
+
+def apply_report(
+    term: OwnerTerm, session: HostSession, report: HostReport, sent: float
+) -> None:
+    """Take note of ends, progress, unknown attempts and vanished ones."""
+    for end in report.ended:
+        if end.number > session.noted_end:
+            session.noted_end = end.number
+            _note_end(term, session, end)
+    listed = set()
+    for run in report.running:
+        listed.add((run.task, run.attempt))
+        _note_running(term, session, run)
+    for order in [
+        one for one in session.foreign if (one.task, one.attempt) not in listed
+    ]:
+        del session.foreign[order]
+    for task in list(session.bound):
+        if (task.id, task.attempt) not in listed:
+            _note_absent(term, session, task, sent)
+    if report.draining and not session.info.draining:
+        term.host_draining(session)
+    if session.noted_end > session.durable_end:
+        term.progress.wake()
+
+
+def _note_end(term: OwnerTerm, session: HostSession, end: EndedAttempt) -> None:
+    session.foreign.pop(StopOrder(end.task, end.attempt), None)
+    task = term.book.task(end.task)
+    if task is None:
+        return
+    log(
+        "attempt_ended",
+        job=end.task.job,
+        step=end.task.step,
+        task=end.task.index,
+        attempt=end.attempt,
+        host=session.host,
+        how=end.kind,
+    )
+    term.metrics.count("attempts_ended", how=str(end.kind))
+    if task.host == session.host and task.attempt == end.attempt:
+        session.bound.pop(task, None)
+        _blame(term, session, task, end.kind)
+        stops = apply_end(term.book, task, end.kind, session.host, end.checkpoint)
+    elif task.phase is TaskPhase.DONE:
+        stops = []
+    else:
+        stops = _note_earlier_end(term, task, end, session.host)
+    for stop in stops:
+        term.stop(stop.task, stop.reason)
+    term.wake()
+
+
+def _note_earlier_end(
+    term: OwnerTerm, task: TaskRun, end: EndedAttempt, host: str
+) -> list:
+    """Take note of an end of an attempt that this owner did not follow."""
+    task.attempt = max(task.attempt, end.attempt) if not task.host else task.attempt
+    if end.checkpoint and not task.host and not task.checkpoint:
+        task.checkpoint = end.checkpoint
+    match end.kind:
+        case EndKind.DONE:
+            return term.book.end_done(task)
+        case EndKind.FAILED:
+            return term.book.end_failed(task, host)
+    return []
+
+
+def _blame(term: OwnerTerm, session: HostSession, task: TaskRun, kind: EndKind) -> None:
+    match kind:
+        case EndKind.DONE:
+            session.trust.note_success()
+        case EndKind.FAILED:
+            for host in task.failed_on:
+                if host in term.sessions:
+                    term.sessions[host].trust.pardon()
+            if not task.failed_on and session.trust.note_failure(steady_s()):
+                log("host_suspended", host=session.host, reason="failed attempts")
+
+
+def _note_running(term: OwnerTerm, session: HostSession, run: RunningAttempt) -> None:
+    task = term.book.task(run.task)
+    if task is not None and task.host == session.host and task.attempt == run.attempt:
+        _note_progress(term, session, task, run)
+        return
+    wanted = (
+        task is not None
+        and not task.host
+        and task.phase is TaskPhase.WAITING
+        and task.unsure
+        and not task.step.job.final
+    )
+    if wanted:
+        term.adopt(session, task, run)
+        return
+    need = task.step.spec.need if task is not None else NOTHING
+    session.stop_foreign(StopOrder(run.task, run.attempt), need, "not wanted")
+
+
+def _note_progress(
+    term: OwnerTerm, session: HostSession, task: TaskRun, run: RunningAttempt
+) -> None:
+    now = steady_s()
+    task.missing = 0
+    if run.checkpoint:
+        keep_checkpoint(task, run.checkpoint)
+    if run.percent != task.percent or task.first_percent < 0:
+        if task.first_percent < 0:
+            task.first_percent = run.percent
+        task.percent, task.percent_at = run.percent, now
+    if task.phase is TaskPhase.STARTING:
+        task.phase = TaskPhase.RUNNING
+    settled = task.phase is TaskPhase.RUNNING and not task.step.spec.long_running
+    if settled and is_stuck(now, task.percent_at, task.percent):
+        session.trust.note_stuck(now)
+        log("attempt_stuck", job=task.id.job, host=session.host, percent=task.percent)
+        term.stop(task, "stuck")
+
+
+def _note_absent(
+    term: OwnerTerm, session: HostSession, task: TaskRun, sent: float
+) -> None:
+    answered = task.stop_answered_at
+    if answered is not None:
+        if sent > answered + term.stop_timeout_s:
+            session.bound.pop(task, None)
+            apply_end(term.book, task, EndKind.STOPPED, session.host, "")
+            term.wake()
+        return
+    if task.phase is TaskPhase.RUNNING and sent > task.started_at:
+        task.missing += 1
+        if task.missing >= MISSING_REPORTS:
+            log("attempt_vanished", job=task.id.job, host=session.host)
+            term.stop(task, "vanished")
--- /dev/null
+++ b/src/primrosehub/services/advising.py
@@ -0,0 +1,84 @@
+"""Ask for advice through whichever daemon is free soonest.
+
+The advice service handles one call at a time for each daemon that calls it.
+"""
+
+from __future__ import annotations
+
+from contextlib import ExitStack
+
+from primrosehub.core.clock import steady_s
+from primrosehub.core.fleet import Advice
+from primrosehub.core.logs import log
+from primrosehub.core.peering import AdviceIs, AskAdvice, NoAdvice
+from primrosehub.kernel import Kernel
+from primrosehub.platform.advice import AdviceClient, AdviceUnavailable
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.cluster import PEERING, PeerSilent
+
+SPARE_S = 1.5  # above the expected time, before a call is given up
+PEER_FRESH_S = 0.8
+AVOID_S = 2.0  # a daemon whose call failed is passed over for this long
+
+
+class AdvisingService:
+    """Keep an estimate of when each daemon's calls will be done."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        address = kernel.settings.advice
+        self._client = AdviceClient(address) if address else None
+        self._busy_until: dict[str, float] = {}
+
+    def start(self, stack: ExitStack) -> None:
+        """Answer peers that ask on behalf of the owner."""
+        self._peering = self._kernel.find(PEERING)
+        self._metrics = self._kernel.find(METRICS)
+        self._peering.answer_with(AskAdvice, self._advise_peer)
+        if self._client is not None:
+            stack.callback(self._client.close)
+
+    def advise(
+        self, job: str, occurrence: int, step: int, hosts: list[str], cost_s: float
+    ) -> Advice | None:
+        """Return advice, or None if none was to be had."""
+        me = self._peering.me.name
+        now = steady_s()
+        names = [me]
+        names += [
+            p.sender.name for p in self._peering.heard(PEER_FRESH_S) if not p.leaving
+        ]
+        name = min(names, key=lambda one: (self._busy_until.get(one, now), one != me))
+        done_at = max(now, self._busy_until.get(name, now)) + cost_s
+        self._busy_until[name] = done_at
+        timeout_s = done_at - now + SPARE_S
+        ask = AskAdvice(job, occurrence, step, tuple(hosts), timeout_s)
+        answer = self._advise_peer(ask) if name == me else self._ask_peer(name, ask)
+        self._metrics.count("advice_calls", outcome=type(answer).__name__)
+        match answer:
+            case AdviceIs(tickets, valid_s):
+                return Advice(tickets, valid_s)
+            case NoAdvice(detail):
+                log("advice_missing", job=job, step=step, by=name, reason=detail)
+                self._busy_until[name] = steady_s() + AVOID_S
+        return None
+
+    def _ask_peer(self, name: str, ask: AskAdvice) -> AdviceIs | NoAdvice:
+        try:
+            answer = self._peering.call(name, ask, ask.timeout_s + 0.1)
+        except PeerSilent as error:
+            return NoAdvice(str(error))
+        if isinstance(answer, AdviceIs | NoAdvice):
+            return answer
+        return NoAdvice(f"answered with {type(answer).__name__}")
+
+    def _advise_peer(self, ask: AskAdvice) -> AdviceIs | NoAdvice:
+        if self._client is None:
+            return NoAdvice("no advice service in the settings")
+        try:
+            advice = self._client.advise(
+                ask.job, ask.occurrence, ask.step, list(ask.hosts), ask.timeout_s
+            )
+        except AdviceUnavailable as error:
+            return NoAdvice(str(error))
+        return AdviceIs(advice.tickets, advice.valid_s)
--- /dev/null
+++ b/src/primrosehub/services/caller_front.py
@@ -0,0 +1,120 @@
+"""The HTTP server for callers: decode, let the intake decide, encode."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from contextlib import ExitStack
+from typing import Any
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from primrosehub.border.http_server import PromptHandler
+from primrosehub.core.clock import steady_s
+from primrosehub.core.errors import ErrorKind, HubError
+from primrosehub.core.logs import log
+from primrosehub.kernel import Kernel
+from primrosehub.platform import callers
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.cluster import CLUSTER_CONFIG, INTAKE
+
+DEFAULT_WAIT_S = 3.0  # of callers that do not say how long they wait
+RETRY_AFTER_S = 1  # told with each refusal; outages of the store last seconds
+
+
+class CallerFront:
+    """Serve callers, each connection in a task of its own."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are being answered."""
+        return self._in_flight
+
+    def start(self, stack: ExitStack) -> None:
+        """Listen until the stack closes."""
+        self._intake = self._kernel.find(INTAKE)
+        self._config = self._kernel.find(CLUSTER_CONFIG)
+        self._metrics = self._kernel.find(METRICS)
+        ip, _, port = self._kernel.settings.callers.rpartition(":")
+        server = WSGIServer(
+            (ip, int(port)),
+            self._answer,
+            log=None,
+            error_log=None,
+            handler_class=PromptHandler,
+            backlog=512,
+        )
+        server.start()
+        stack.callback(server.stop, 0.5)
+
+    def drain(self, quiet_s: float, limit_s: float) -> None:
+        """Wait until no request came for a while, or the limit has passed."""
+        until = steady_s() + limit_s
+        quiet_since = steady_s()
+        while steady_s() < until:
+            gevent.sleep(0.05)
+            if self._in_flight:
+                quiet_since = steady_s()
+            elif steady_s() - quiet_since > quiet_s:
+                return
+
+    def _answer(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        began = steady_s()
+        self._in_flight += 1
+        try:
+            answer = self._handle(environ, began)
+        finally:
+            self._in_flight -= 1
+        headers = answer.headers
+        if self._kernel.stopping.is_set():
+            headers = [*headers, ("Connection", "close")]
+        start_response(answer.status, headers)
+        self._metrics.count("caller_answers", status=answer.status[:3])
+        return [answer.body]
+
+    def _handle(self, environ: dict[str, Any], began: float) -> callers.CallerAnswer:
+        try:
+            limit = self._config.current.max_body_bytes
+            if int(environ.get("CONTENT_LENGTH") or 0) > limit:
+                raise HubError(ErrorKind.TOO_LARGE, f"at most {limit} bytes")
+            request = callers.decode_request(environ, DEFAULT_WAIT_S)
+            return self._dispatch(request)
+        except HubError as error:
+            log(
+                "caller_refused",
+                path=environ.get("PATH_INFO", "")[-60:],
+                method=environ.get("REQUEST_METHOD", ""),
+                kind=error.kind,
+                detail=error.detail[:200],
+                config=self._config.current.version,
+                took_ms=round((steady_s() - began) * 1000),
+            )
+            return callers.answer_error(error, RETRY_AFTER_S)
+        except (OSError, ValueError) as error:
+            log("caller_unreadable", reason=repr(error)[:200])
+            malformed = HubError(ErrorKind.BAD_REQUEST, "the request is unreadable")
+            return callers.answer_error(malformed, RETRY_AFTER_S)
+
+    def _dispatch(self, request: callers.CallerRequest) -> callers.CallerAnswer:
+        target = (request.host, request.path, request.secret)
+        match request.method:
+            case "POST":
+                spec = callers.decode_job(request.body)
+                self._intake.submit(*target, spec, request.wait_s)
+                return callers.answer_accepted()
+            case "GET" if request.path.endswith("/"):
+                return callers.answer_waiting(
+                    self._intake.waiting(*target, request.wait_s)
+                )
+            case "GET":
+                return callers.answer_state(self._intake.state(*target, request.wait_s))
+            case "DELETE":
+                self._intake.cancel(*target, request.wait_s)
+                return callers.answer_accepted()
+        raise HubError(ErrorKind.METHOD_NOT_ALLOWED, "use POST, GET or DELETE")
--- /dev/null
+++ b/src/primrosehub/services/cluster_config.py
@@ -0,0 +1,129 @@
+"""The operators' configuration: the highest version seen, from store or peers."""
+
+from __future__ import annotations
+
+from contextlib import ExitStack
+
+import gevent
+
+from primrosehub.core.clock import steady_s
+from primrosehub.core.clusterconfig import ClusterConfig
+from primrosehub.core.logs import log
+from primrosehub.core.peering import AskConfig, ConfigIs
+from primrosehub.core.rows import HistoryLost, RowKey, StoreRefused
+from primrosehub.kernel import Kernel
+from primrosehub.platform.operator import decode_config
+from primrosehub.platform.wire import CONFIG_KEY, OPERATOR_TABLE
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.cluster import PEERING, STORE, PeerSilent
+
+FEED_WAIT_S = 1.0  # half the bound for a change, so that a silent feed is noticed
+REREAD_S = 0.9  # a feed that lags is not believed beyond this
+RETRY_S = 0.25
+PEER_CHECK_S = 0.2
+PEER_FRESH_S = 1.5
+PEER_TIMEOUT_S = 0.5
+_KEY = RowKey(OPERATOR_TABLE, "", CONFIG_KEY)
+
+
+class ClusterConfigService:
+    """Follow the configuration; versions only go up."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._current = ClusterConfig()
+
+    @property
+    def current(self) -> ClusterConfig:
+        """Return the configuration in force."""
+        return self._current
+
+    def start(self, stack: ExitStack) -> None:
+        """Follow the store and the peers."""
+        self._store = self._kernel.find(STORE)
+        self._peering = self._kernel.find(PEERING)
+        self._metrics = self._kernel.find(METRICS)
+        self._peering.answer_with(AskConfig, lambda _: ConfigIs(self._current.text))
+        tasks = self._kernel.tasks(stack)
+        tasks.spawn("config-feed", self._follow_feed)
+        tasks.spawn("config-read", self._reread)
+        tasks.spawn("config-peers", self._follow_peers)
+
+    def offer(self, text: bytes, source: str) -> None:
+        """Take over a configuration that is newer than the current one."""
+        try:
+            config = decode_config(text)
+        except ValueError as error:
+            log("config_unreadable", source=source, reason=str(error)[:300])
+            return
+        if config.version > self._current.version:
+            log(
+                "config_in_force",
+                version=config.version,
+                before=self._current.version,
+                source=source,
+                queues=len(config.queues),
+                teams=len(config.teams),
+            )
+            self._current = config
+            self._metrics.gauge("config_version", config.version)
+            self._peering.ping_now()
+
+    def _follow_feed(self) -> None:
+        after = self._first_version()
+        while True:
+            try:
+                page = self._store.changes(OPERATOR_TABLE, after, FEED_WAIT_S)
+            except HistoryLost:
+                log("config_history_lost", after=after)
+                after = self._first_version()
+            except StoreRefused:
+                gevent.sleep(RETRY_S)
+            else:
+                for row in page.rows:
+                    if row.key == _KEY and not row.deleted:
+                        self.offer(row.value, "feed")
+                after = max(after, page.version)
+
+    def _first_version(self) -> int:
+        while True:
+            try:
+                return self._read()
+            except StoreRefused:
+                gevent.sleep(RETRY_S)
+
+    def _reread(self) -> None:
+        while True:
+            gevent.sleep(REREAD_S)
+            try:
+                self._read()
+            except StoreRefused:
+                continue  # the store service logs the loss; peers are asked meanwhile
+
+    def _read(self) -> int:
+        page = self._store.read_part(OPERATOR_TABLE, "")
+        for row in page.rows:
+            if row.key == _KEY:
+                self.offer(row.value, "read")
+        return page.version
+
+    def _follow_peers(self) -> None:
+        while True:
+            began = steady_s()
+            newest = max(
+                self._peering.heard(PEER_FRESH_S),
+                key=lambda pong: pong.config_version,
+                default=None,
+            )
+            if newest and newest.config_version > self._current.version:
+                self._ask(newest.sender.name)
+            gevent.sleep(max(0.0, PEER_CHECK_S - (steady_s() - began)))
+
+    def _ask(self, name: str) -> None:
+        try:
+            answer = self._peering.call(name, AskConfig(), PEER_TIMEOUT_S)
+        except PeerSilent as error:
+            log("config_not_received", peer=name, reason=str(error))
+            return
+        if isinstance(answer, ConfigIs):
+            self.offer(answer.text, f"peer {name}")
--- /dev/null
+++ b/src/primrosehub/services/intake.py
@@ -0,0 +1,248 @@
+"""Accept, read and cancel jobs for callers at any daemon."""
+
+from __future__ import annotations
+
+import re
+from contextlib import ExitStack
+
+import gevent
+
+from primrosehub.border.codec import decode, encode
+from primrosehub.core.batch import (
+    FINAL_STATES,
+    AcceptedJob,
+    BatchSpec,
+    JobProgress,
+    JobState,
+)
+from primrosehub.core.clock import steady_s, unix_ms
+from primrosehub.core.clusterconfig import Queue
+from primrosehub.core.errors import ErrorKind, HubError
+from primrosehub.core.logs import log
+from primrosehub.core.peering import (
+    AskState,
+    AskWaiting,
+    JobCancelled,
+    JobsAccepted,
+    PeerMessage,
+    StateIs,
+    WaitingIs,
+)
+from primrosehub.core.rows import (
+    ABSENT,
+    ExpectRow,
+    PutRow,
+    RowKey,
+    RowsTransaction,
+    StoreRefused,
+    StoreUnknown,
+    TransactionApplied,
+    TransactionConflicted,
+)
+from primrosehub.kernel import Kernel
+from primrosehub.services._job_rows import cancel_key, job_key
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.cluster import (
+    CLUSTER_CONFIG,
+    OWNERSHIP,
+    PEERING,
+    SCHEDULER,
+    STORE,
+    PeerSilent,
+)
+
+_JOB_ID = re.compile(r"[0-9a-f]{16}")
+SHARE_OF_WAIT = 0.6  # of the caller's wait, before an unknown outcome is told
+RETRY_S = 0.15
+ASK_OWNER_S = 0.6
+TELL_OWNER_S = 0.5
+WAITING_FRESH_S = 1.5  # an older count is not told
+
+
+class IntakeService:
+    """Store jobs and cancellations, tell the owner, and answer about jobs."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._doubtful: dict[str, float] = {}
+        self._counts: dict[str, tuple[float, int]] = {}
+
+    def start(self, stack: ExitStack) -> None:
+        """Look up the other services."""
+        self._store = self._kernel.find(STORE)
+        self._config = self._kernel.find(CLUSTER_CONFIG)
+        self._ownership = self._kernel.find(OWNERSHIP)
+        self._peering = self._kernel.find(PEERING)
+        self._scheduler = self._kernel.find(SCHEDULER)
+        self._metrics = self._kernel.find(METRICS)
+        self._tasks = self._kernel.tasks(stack)
+
+    def submit(
+        self, host: str, path: str, secret: str | None, spec: BatchSpec, wait_s: float
+    ) -> None:
+        """Store a job once."""
+        queue, team, job_id = self._admit(host, path, secret)
+        self._require_job_id(job_id)
+        accepted = AcceptedJob(job_id, team, queue.name, queue.service, unix_ms(), spec)
+        began = steady_s()
+        stored = self._insert_job(accepted, wait_s)
+        log(
+            "job_accepted",
+            job=job_id,
+            queue=queue.name,
+            team=team,
+            config=self._config.current.version,
+            new=stored,
+            took_ms=round((steady_s() - began) * 1000),
+        )
+        self._metrics.count("jobs_accepted", queue=queue.name)
+        self._metrics.observe("accept_seconds", steady_s() - began)
+        self._tasks.spawn("tell-owner", self._tell_owner, JobsAccepted((accepted,)))
+
+    def state(
+        self, host: str, path: str, secret: str | None, wait_s: float
+    ) -> JobState:
+        """Return a job's state."""
+        _, team, job_id = self._admit(host, path, secret)
+        if not _JOB_ID.fullmatch(job_id):
+            raise HubError(ErrorKind.NO_SUCH_JOB, f"{job_id!r} is not a job's id")
+        match self._ask_owner(AskState(job_id, team)):
+            case StateIs(JobState() as state):
+                return state
+        return self._state_from_store(job_id, team)
+
+    def cancel(self, host: str, path: str, secret: str | None, wait_s: float) -> None:
+        """Store a job's cancellation."""
+        _, team, job_id = self._admit(host, path, secret)
+        if not _JOB_ID.fullmatch(job_id):
+            raise HubError(ErrorKind.NO_SUCH_JOB, f"{job_id!r} is not a job's id")
+        known = self._ask_owner(AskState(job_id, team))
+        if not (isinstance(known, StateIs) and known.state):
+            self._state_from_store(job_id, team)
+        self._insert_once(cancel_key(job_id), b"{}", wait_s)
+        log("cancel_accepted", job=job_id, team=team)
+        self._tasks.spawn("tell-owner", self._tell_owner, JobCancelled(job_id))
+
+    def waiting(self, host: str, path: str, secret: str | None, wait_s: float) -> int:
+        """Return how many jobs of a queue have not begun."""
+        queue, _, _ = self._admit(host, path, secret)
+        match self._ask_owner(AskWaiting(queue.name)):
+            case WaitingIs(count):
+                self._counts[queue.name] = (steady_s(), count)
+                return count
+        at, count = self._counts.get(queue.name, (float("-inf"), 0))
+        if steady_s() - at < WAITING_FRESH_S:
+            return count
+        raise HubError(ErrorKind.UNAVAILABLE, "the jobs have no owner at the moment")
+
+    def _admit(
+        self, host: str, path: str, secret: str | None
+    ) -> tuple[Queue, str, str]:
+        """Return the queue, the team and the rest of the path; raise HubError."""
+        config = self._config.current
+        if not config.version:
+            raise HubError(ErrorKind.UNAVAILABLE, "no configuration was received yet")
+        queue = config.queue_for(host, path)
+        if queue is None:
+            raise HubError(ErrorKind.NOT_FOUND, f"no queue at {host}{path}")
+        team = config.team_of_key.get(secret or "", "")
+        if queue.team_required and not team:
+            raise HubError(ErrorKind.UNAUTHENTICATED, "the key is missing or unknown")
+        return queue, team, path.removeprefix(queue.prefix)
+
+    def _require_job_id(self, job_id: str) -> None:
+        if not _JOB_ID.fullmatch(job_id):
+            raise HubError(
+                ErrorKind.BAD_REQUEST, "a job's id is 16 lower-case hexadecimal digits"
+            )
+
+    def _insert_job(self, accepted: AcceptedJob, wait_s: float) -> bool:
+        """Store the job; tell whether it is new, or the same one was stored before."""
+        stored = self._insert_once(job_key(accepted.job), encode(accepted), wait_s)
+        if stored is None:
+            return True
+        before = decode(AcceptedJob, stored)
+        same = (before.team, before.queue, before.spec) == (
+            accepted.team,
+            accepted.queue,
+            accepted.spec,
+        )
+        if not same:
+            raise HubError(ErrorKind.CONFLICT, "another job has this id")
+        return False
+
+    def _insert_once(self, key: RowKey, value: bytes, wait_s: float) -> bytes | None:
+        """Insert a row; return the value of one that stood there before."""
+        until = steady_s() + wait_s * SHARE_OF_WAIT
+        transaction = RowsTransaction((ExpectRow(key, ABSENT),), (PutRow(key, value),))
+        doubtful = key.key in self._doubtful
+        while True:
+            try:
+                outcome = self._store.commit(transaction)
+            except StoreUnknown as error:
+                doubtful, reason = True, str(error)
+                self._doubtful[key.key] = steady_s()
+            except StoreRefused as error:
+                reason = str(error)
+            else:
+                self._doubtful.pop(key.key, None)
+                match outcome:
+                    case TransactionApplied():
+                        return None
+                    case TransactionConflicted(rows):
+                        return next(row.value for row in rows if row.key == key)
+            if steady_s() + RETRY_S > until:
+                raise self._not_stored(key, doubtful, reason)
+            gevent.sleep(RETRY_S)
+
+    def _not_stored(self, key: RowKey, doubtful: bool, reason: str) -> HubError:
+        log("not_stored", job=key.key, table=key.table, unknown=doubtful, reason=reason)
+        if doubtful:
+            return HubError(
+                ErrorKind.OUTCOME_UNKNOWN, "the store did not answer; send it again"
+            )
+        return HubError(ErrorKind.UNAVAILABLE, "the store takes no jobs at the moment")
+
+    def _state_from_store(self, job_id: str, team: str) -> JobState:
+        try:
+            row = self._store.read_one(job_key(job_id))
+            if row is None or decode(AcceptedJob, row.value).team != team:
+                raise HubError(ErrorKind.NO_SUCH_JOB, f"no job {job_id}")
+            if self._store.read_one(cancel_key(job_id)) is not None:
+                return JobState.CANCELLED
+            stored = self._store.read_one(RowKey("progress", "s", job_id))
+        except StoreRefused as error:
+            raise HubError(ErrorKind.UNAVAILABLE, f"the job's state: {error}") from None
+        if stored is None:
+            return JobState.QUEUED
+        state = decode(JobProgress, stored.value).state
+        return state if state in FINAL_STATES else JobState.RUNNING
+
+    def _ask_owner(self, message: AskState | AskWaiting) -> PeerMessage | None:
+        if self._ownership.leading:
+            try:
+                match message:
+                    case AskState(job, team):
+                        return StateIs(self._scheduler.state_of(job, team))
+                    case AskWaiting(queue):
+                        return WaitingIs(self._scheduler.waiting_in(queue))
+            except LookupError:
+                return None
+        try:
+            return self._peering.call(self._ownership.seen.name, message, ASK_OWNER_S)
+        except PeerSilent:
+            return None  # the store answers instead
+
+    def _tell_owner(self, message: JobsAccepted | JobCancelled) -> None:
+        """Spare the owner the wait for its feed; the feed brings it in any case."""
+        try:
+            if self._ownership.leading:
+                match message:
+                    case JobsAccepted(jobs):
+                        self._scheduler.add_jobs(jobs)
+                    case JobCancelled(job):
+                        self._scheduler.cancel(job)
+            else:
+                self._peering.call(self._ownership.seen.name, message, TELL_OWNER_S)
+        except (PeerSilent, LookupError) as error:
+            log("owner_not_told", reason=str(error))
--- /dev/null
+++ b/src/primrosehub/services/names/cluster.py
@@ -0,0 +1,183 @@
+"""The names of the hub daemon's services and the interface behind each."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from primrosehub.core.batch import AcceptedJob, BatchSpec, JobState
+from primrosehub.core.clusterconfig import ClusterConfig
+from primrosehub.core.fleet import Advice
+from primrosehub.core.peering import OwnerSeen, PeerCard, PeerMessage, Pong
+from primrosehub.core.rows import (
+    RowKey,
+    RowsOutcome,
+    RowsPage,
+    RowsTransaction,
+    StoredRow,
+)
+from primrosehub.kernel import ServiceName
+
+
+class Store(Protocol):
+    """Reach the platform's row store, directly or through a peer."""
+
+    @property
+    def reached_directly(self) -> bool:
+        """Tell whether the store answered this daemon's last direct call."""
+
+    def commit(self, transaction: RowsTransaction) -> RowsOutcome:
+        """Apply a transaction; raise StoreRefused or StoreUnknown."""
+
+    def read_one(self, key: RowKey) -> StoredRow | None:
+        """Return a row or None; raise StoreRefused."""
+
+    def read_part(self, table: str, part: str) -> RowsPage:
+        """Return all rows of a part; raise StoreRefused."""
+
+    def changes(self, table: str, after: int, wait_s: float) -> RowsPage:
+        """Return the changes after a version; raise StoreRefused or HistoryLost."""
+
+
+class ConfigFollower(Protocol):
+    """Hold the highest version of the operators' configuration seen here."""
+
+    @property
+    def current(self) -> ClusterConfig:
+        """Return the configuration in force."""
+
+    def offer(self, text: bytes, source: str) -> None:
+        """Take over a configuration that is newer than the current one."""
+
+
+class Peering(Protocol):
+    """Know the other daemons and exchange messages with them."""
+
+    @property
+    def me(self) -> PeerCard:
+        """Return this daemon's own card."""
+
+    def call(self, name: str, message: PeerMessage, timeout_s: float) -> PeerMessage:
+        """Return a peer's answer; raise PeerSilent."""
+
+    def answer_with(
+        self, kind: type[PeerMessage], answer: Callable[..., PeerMessage]
+    ) -> None:
+        """Let a function answer all messages of a kind."""
+
+    def heard(self, within_s: float) -> Sequence[Pong]:
+        """Return the last pong of each peer that answered within the time."""
+
+    def card_of(self, incarnation: str) -> PeerCard | None:
+        """Return the card of a living or dead incarnation, if it was ever heard."""
+
+    def watch_closely(self, name: str) -> None:
+        """Ping this peer at the short period, and no peer watched so before."""
+
+    def ping_now(self) -> None:
+        """Ping all peers at once, to spread a changed belief."""
+
+
+class PeerSilent(Exception):
+    """Say that a peer gave no answer."""
+
+
+class Ownership(Protocol):
+    """Decide which daemon owns the worker hosts and jobs."""
+
+    @property
+    def seen(self) -> OwnerSeen:
+        """Return the owner of the highest known epoch."""
+
+    @property
+    def leading(self) -> bool:
+        """Tell whether this daemon owns them."""
+
+    @property
+    def confirmed_by_store_at(self) -> float:
+        """Return when the last store call that confirmed this ownership was sent."""
+
+    @property
+    def may_order(self) -> bool:
+        """Tell whether the ownership was confirmed recently enough to send orders."""
+
+    def commit(self, transaction: RowsTransaction) -> None:
+        """Apply an owner's transaction once; raise OwnershipLost or StoreRefused."""
+
+    def confirm(self) -> None:
+        """Confirm the ownership from the store now."""
+
+    def deposed(self, reason: str) -> None:
+        """Take note that a higher epoch exists."""
+
+    def release(self) -> None:
+        """Give the ownership up, so that a peer takes over at once."""
+
+
+class OwnershipLost(Exception):
+    """Say that another daemon owns the jobs now."""
+
+
+class Scheduler(Protocol):
+    """Run the jobs while this daemon is their owner."""
+
+    def lead(self, epoch: int) -> None:
+        """Begin a term of ownership."""
+
+    def stop_leading(self) -> None:
+        """End the term, at once."""
+
+    def state_of(self, job: str, team: str) -> JobState | None:
+        """Return a known job's state, else None; raise LookupError without a term."""
+
+    def waiting_in(self, queue: str) -> int:
+        """Return how many jobs of a queue have not begun; raise LookupError."""
+
+    def add_jobs(self, jobs: Sequence[AcceptedJob]) -> None:
+        """Take note of stored jobs; raise LookupError without a term."""
+
+    def cancel(self, job: str) -> None:
+        """Take note of a stored cancellation; raise LookupError without a term."""
+
+    def flush(self) -> None:
+        """Store all progress that is not stored yet; raise StoreRefused."""
+
+
+class Advising(Protocol):
+    """Obtain advice, spreading the calls over all daemons."""
+
+    def advise(
+        self, job: str, occurrence: int, step: int, hosts: list[str], cost_s: float
+    ) -> Advice | None:
+        """Return advice, or None if none was to be had."""
+
+
+class Intake(Protocol):
+    """Accept, read and cancel jobs on behalf of callers; raise HubError."""
+
+    def submit(
+        self, host: str, path: str, secret: str | None, spec: BatchSpec, wait_s: float
+    ) -> None:
+        """Store a job once."""
+
+    def state(
+        self, host: str, path: str, secret: str | None, wait_s: float
+    ) -> JobState:
+        """Return a job's state."""
+
+    def cancel(self, host: str, path: str, secret: str | None, wait_s: float) -> None:
+        """Store a job's cancellation."""
+
+    def waiting(self, host: str, path: str, secret: str | None, wait_s: float) -> int:
+        """Return how many jobs of a queue have not begun."""
+
+
+STORE: ServiceName[Store] = ServiceName("store")
+CLUSTER_CONFIG: ServiceName[ConfigFollower] = ServiceName("cluster-config")
+PEERING: ServiceName[Peering] = ServiceName("peering")
+OWNERSHIP: ServiceName[Ownership] = ServiceName("ownership")
+SCHEDULER: ServiceName[Scheduler] = ServiceName("scheduler")
+ADVISING: ServiceName[Advising] = ServiceName("advising")
+INTAKE: ServiceName[Intake] = ServiceName("intake")
+CALLER_FRONT: ServiceName[object] = ServiceName("caller-front")
+HUB_OPS: ServiceName[object] = ServiceName("hub-ops")
--- /dev/null
+++ b/src/primrosehub/services/ownership.py
@@ -0,0 +1,326 @@
+"""Which daemon owns the jobs and worker hosts: an epoch in one row of the store.
+
+The owner's every transaction expects the row at the version it last wrote and writes
+it again with a new number, so a late copy of a transaction never applies twice.
+"""
+
+from __future__ import annotations
+
+from contextlib import ExitStack
+from dataclasses import dataclass, replace
+
+import gevent
+from gevent.event import Event
+from gevent.lock import RLock
+
+from primrosehub.border.codec import decode, encode
+from primrosehub.core.clock import steady_s
+from primrosehub.core.logs import log
+from primrosehub.core.peering import OwnerSeen, Pong
+from primrosehub.core.rows import (
+    ABSENT,
+    ExpectRow,
+    PutRow,
+    RowKey,
+    RowsTransaction,
+    StoredRow,
+    StoreRefused,
+    StoreUnknown,
+    TransactionApplied,
+    TransactionConflicted,
+)
+from primrosehub.kernel import Kernel
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.cluster import (
+    PEERING,
+    SCHEDULER,
+    STORE,
+    OwnershipLost,
+)
+
+CHECK_S = 0.1
+SILENCE_S = 1.0  # an owner unheard for this long is taken to be dead
+RANK_DELAY_S = 0.4  # between candidates, so that the first one mostly wins
+VACANT_DELAY_S = 0.15
+TRUST_S = 2.0  # orders go out only within this time of a confirmation
+CONFIRM_S = 0.7
+RETRY_S = 0.1
+OWNER_KEY = RowKey("owner", "s", "cell")
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerRow:
+    """Hold the row of ownership; an empty incarnation means vacant."""
+
+    epoch: int
+    incarnation: str
+    name: str
+    number: int = 0
+
+
+class OwnershipService:
+    """Watch the owner, take over from a dead one, write as the owner."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._row = OwnerRow(0, "", "")
+        self._version = ABSENT
+        self._leading = False
+        self._confirmed_at = float("-inf")
+        self._owner_heard_at = float("-inf")
+        self._silent_since = steady_s()
+        self._lock = RLock()
+        self._released = False
+        self._look = Event()
+
+    @property
+    def seen(self) -> OwnerSeen:
+        """Return the owner of the highest known epoch."""
+        now = steady_s()
+        heard = 0.0 if self._leading else now - self._owner_heard_at
+        row = self._row
+        return OwnerSeen(row.epoch, row.incarnation, row.name, min(heard, 1e9))
+
+    @property
+    def leading(self) -> bool:
+        """Tell whether this daemon owns the jobs."""
+        return self._leading
+
+    @property
+    def confirmed_by_store_at(self) -> float:
+        """Return when the last store call that confirmed the ownership was sent."""
+        return self._confirmed_at
+
+    @property
+    def may_order(self) -> bool:
+        """Tell whether the ownership was confirmed recently enough to send orders."""
+        if not self._leading:
+            return False
+        if steady_s() - self._confirmed_at < TRUST_S:
+            return True
+        return any(
+            pong.owner.epoch <= self._row.epoch for pong in self._peering.heard(TRUST_S)
+        )
+
+    def start(self, stack: ExitStack) -> None:
+        """Watch from now on."""
+        self._store = self._kernel.find(STORE)
+        self._peering = self._kernel.find(PEERING)
+        self._scheduler = self._kernel.find(SCHEDULER)
+        self._metrics = self._kernel.find(METRICS)
+        self._kernel.tasks(stack).spawn("ownership", self._watch)
+
+    def commit(self, transaction: RowsTransaction) -> None:
+        """Apply an owner's transaction once; raise OwnershipLost or StoreRefused."""
+        with self._lock:
+            if not self._leading:
+                raise OwnershipLost("not the owner")
+            row = replace(self._row, number=self._row.number + 1)
+            self._commit_row(row, transaction)
+
+    def confirm(self) -> None:
+        """Confirm the ownership from the store now; raise StoreRefused."""
+        sent = steady_s()
+        stored = self._store.read_one(OWNER_KEY)
+        row = _decode(stored)
+        if (row.epoch, row.incarnation) == (self._row.epoch, self._row.incarnation):
+            self._confirmed_at = max(self._confirmed_at, sent)
+        elif row.epoch > self._row.epoch:
+            self.deposed(f"the store names epoch {row.epoch}")
+
+    def deposed(self, reason: str) -> None:
+        """Take note that a higher epoch exists."""
+        if self._leading:
+            self._leading = False
+            log("ownership_lost", epoch=self._row.epoch, reason=reason)
+            self._metrics.gauge("leading", 0)
+            self._scheduler.stop_leading()
+        self._look.set()
+
+    def release(self) -> None:
+        """Give the ownership up, so that a peer takes over at once."""
+        self._released = True
+        if not self._leading:
+            return
+        try:
+            self._scheduler.flush()
+            with self._lock:
+                row = replace(self._row, incarnation="", number=self._row.number + 1)
+                self._scheduler.stop_leading()
+                self._commit_row(row, RowsTransaction())
+            log("ownership_released", epoch=row.epoch)
+        except (StoreRefused, OwnershipLost) as error:
+            log("ownership_not_released", reason=str(error))
+        self._leading = False
+        self._peering.ping_now()
+
+    def _commit_row(self, row: OwnerRow, transaction: RowsTransaction) -> None:
+        whole = RowsTransaction(
+            (ExpectRow(OWNER_KEY, self._version), *transaction.expects),
+            (PutRow(OWNER_KEY, encode(row)), *transaction.writes),
+            transaction.removes,
+        )
+        doubtful = False
+        while True:
+            sent = steady_s()
+            try:
+                outcome = self._store.commit(whole)
+            except StoreUnknown:
+                doubtful = True
+            except StoreRefused:
+                if not doubtful:
+                    raise
+            else:
+                self._settle(outcome, row, sent)
+                return
+            gevent.sleep(RETRY_S)
+            if not self._leading:
+                raise OwnershipLost("deposed while a transaction was in doubt")
+
+    def _settle(
+        self,
+        outcome: TransactionApplied | TransactionConflicted,
+        row: OwnerRow,
+        sent: float,
+    ) -> None:
+        match outcome:
+            case TransactionApplied(version):
+                self._row, self._version = row, version
+            case TransactionConflicted(rows):
+                stored = next((one for one in rows if one.key == OWNER_KEY), None)
+                if stored is None or _decode(stored) != row:
+                    self.deposed(f"the store holds {_decode(stored)}")
+                    raise OwnershipLost("the row of ownership has changed")
+                self._row, self._version = row, stored.version
+        self._confirmed_at = max(self._confirmed_at, sent)
+
+    def _watch(self) -> None:
+        while True:
+            self._look.wait(CHECK_S)
+            self._look.clear()
+            if self._released:
+                return
+            try:
+                if self._leading:
+                    self._check_own()
+                else:
+                    self._check_owner()
+            except StoreRefused:
+                gevent.sleep(RETRY_S)
+
+    def _check_own(self) -> None:
+        for pong in self._peering.heard(TRUST_S):
+            if pong.owner.epoch > self._row.epoch:
+                self.deposed(f"{pong.sender.name} knows epoch {pong.owner.epoch}")
+                return
+        if steady_s() - self._confirmed_at > CONFIRM_S:
+            self.confirm()
+
+    def _check_owner(self) -> None:
+        now = steady_s()
+        pongs = self._peering.heard(SILENCE_S)
+        if self._row.epoch == 0:
+            self._reread()
+        for pong in pongs:
+            self._learn(pong)
+        self._peering.watch_closely(self._row.name)
+        if self._owner_lives(pongs, now):
+            self._silent_since = now
+            return
+        delay = self._rank(pongs) * RANK_DELAY_S
+        if self._is_surely_gone(pongs):
+            delay += VACANT_DELAY_S if self._rank(pongs) else 0.0
+        else:
+            delay += SILENCE_S
+        if now - self._silent_since >= delay:
+            self._reread()
+            if not self._owner_lives(pongs, now):
+                self._take_over()
+
+    def _learn(self, pong: Pong) -> None:
+        owner = pong.owner
+        if owner.epoch > self._row.epoch or (
+            owner.epoch == self._row.epoch and not owner.incarnation
+        ):
+            if self._row.incarnation != owner.incarnation:
+                log("owner_seen", epoch=owner.epoch, owner=owner.name, by="peer")
+            self._row = OwnerRow(owner.epoch, owner.incarnation, owner.name)
+        if self._row.incarnation and pong.sender.incarnation == self._row.incarnation:
+            self._owner_heard_at = steady_s()
+
+    def _owner_lives(self, pongs: tuple[Pong, ...] | list[Pong], now: float) -> bool:
+        incarnation = self._row.incarnation
+        if not incarnation or incarnation == self._peering.me.incarnation:
+            return False
+        for pong in pongs:
+            if pong.sender.incarnation == incarnation:
+                return pong.owner.incarnation == incarnation
+        return any(
+            pong.owner.incarnation == incarnation and pong.owner.heard_s < SILENCE_S
+            for pong in pongs
+        )
+
+    def _is_surely_gone(self, pongs: tuple[Pong, ...] | list[Pong]) -> bool:
+        row, me = self._row, self._peering.me
+        if not row.incarnation or row.name == me.name:
+            return True
+        return any(
+            pong.sender.name == row.name and pong.sender.incarnation != row.incarnation
+            for pong in pongs
+        )
+
+    def _rank(self, pongs: tuple[Pong, ...] | list[Pong]) -> int:
+        me = self._peering.me
+        others = [
+            pong.sender for pong in pongs if pong.store_reached and not pong.leaving
+        ]
+        ranked = sorted([me, *others], key=lambda card: (-card.power, card.name))
+        blocked = 0 if self._store.reached_directly else len(others)
+        return ranked.index(me) + blocked
+
+    def _reread(self) -> None:
+        stored = self._store.read_one(OWNER_KEY)
+        row = _decode(stored)
+        self._version = stored.version if stored else ABSENT
+        if row.epoch > self._row.epoch or row.incarnation != self._row.incarnation:
+            log("owner_seen", epoch=row.epoch, owner=row.name, by="store")
+            self._silent_since = steady_s()
+        self._row = row
+        if row.incarnation == self._peering.me.incarnation:
+            self._begin(steady_s())
+
+    def _take_over(self) -> None:
+        if self._leading:
+            return
+        me = self._peering.me
+        row = OwnerRow(self._row.epoch + 1, me.incarnation, me.name)
+        sent = steady_s()
+        transaction = RowsTransaction(
+            (ExpectRow(OWNER_KEY, self._version),), (PutRow(OWNER_KEY, encode(row)),)
+        )
+        try:
+            outcome = self._store.commit(transaction)
+        except StoreUnknown:
+            self._reread()
+            return
+        match outcome:
+            case TransactionApplied(version):
+                log("taking_over", epoch=row.epoch, before=self._row.name)
+                self._row, self._version = row, version
+                self._begin(sent)
+            case TransactionConflicted():
+                self._reread()
+
+    def _begin(self, confirmed_at: float) -> None:
+        if self._leading:
+            return
+        self._leading = True
+        self._confirmed_at = confirmed_at
+        self._metrics.gauge("leading", 1)
+        self._metrics.count("take_overs")
+        self._peering.ping_now()
+        self._scheduler.lead(self._row.epoch)
+
+
+def _decode(stored: StoredRow | None) -> OwnerRow:
+    return decode(OwnerRow, stored.value) if stored else OwnerRow(0, "", "")
--- /dev/null
+++ b/src/primrosehub/services/peering.py
@@ -0,0 +1,309 @@
+"""The other daemons: who they are, whether they live, calls to and from them."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable, Sequence
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.event import Event
+
+from primrosehub.border.codec import decode, encode
+from primrosehub.border.frames import CallFailed, FrameClient, FrameServer
+from primrosehub.border.peer_codec import decode_message, encode_message
+from primrosehub.core.clock import steady_s
+from primrosehub.core.logs import log
+from primrosehub.core.peering import (
+    AskMembers,
+    MembersAre,
+    PeerCard,
+    PeerMessage,
+    Ping,
+    Pong,
+)
+from primrosehub.core.rows import (
+    PutRow,
+    RowKey,
+    RowsTransaction,
+    StoreRefused,
+    StoreUnknown,
+)
+from primrosehub.kernel import Kernel, TaskGroup
+from primrosehub.services.names.cluster import (
+    CLUSTER_CONFIG,
+    OWNERSHIP,
+    STORE,
+    PeerSilent,
+)
+
+PING_S = 0.3  # three lost pings are a third of the bound on a take-over
+SLOW_PING_S = 3.0  # for peers that neither own nor would soon own
+PING_TIMEOUT_S = 0.5
+SILENT_AFTER_S = 1.0
+CLOSE_PEERS = 8  # so many of the strongest are pinged at the short period
+REREAD_MEMBERS_S = 10.0
+FORGET_S = 120.0  # a peer silent for this long is no longer pinged
+MAX_CONNECTIONS = 512
+MAX_IDLE_LANES = 8
+_MEMBERS = ("member", "")
+
+
+@dataclass(slots=True)
+class _Peer:
+    """Hold what is known of one peer and the connections to it."""
+
+    card: PeerCard
+    last: Pong | None = None
+    heard_at: float = float("-inf")
+    known_since: float = field(default_factory=steady_s)
+    silent: bool = True
+    wake: Event = field(default_factory=Event)
+    lanes: list[FrameClient] = field(default_factory=list)
+
+    def lane(self) -> FrameClient:
+        """Return an idle connection or a new one."""
+        if self.lanes:
+            return self.lanes.pop()
+        ip, _, port = self.card.address.rpartition(":")
+        return FrameClient(ip, int(port))
+
+    def give_back(self, lane: FrameClient) -> None:
+        """Keep a connection for the next call."""
+        if len(self.lanes) < MAX_IDLE_LANES:
+            self.lanes.append(lane)
+        else:
+            lane.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self.lanes:
+            self.lanes.pop().close()
+
+
+class PeeringService:
+    """Ping each peer in a task of its own and answer peers' calls."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        settings = kernel.settings
+        self._me = PeerCard(
+            name=settings.name,
+            address=settings.peer,
+            zone=settings.zone,
+            incarnation=uuid.uuid4().hex[:16],
+            power=settings.cpu_share * settings.cores,
+        )
+        self._peers: dict[str, _Peer] = {}
+        self._cards: dict[str, PeerCard] = {}
+        self._watched = ""
+        self._answers: dict[type, Callable[..., PeerMessage]] = {
+            Ping: self._pong,
+            AskMembers: lambda _: MembersAre(tuple(self._all_cards())),
+        }
+
+    @property
+    def me(self) -> PeerCard:
+        """Return this daemon's own card."""
+        return self._me
+
+    def start(self, stack: ExitStack) -> None:
+        """Listen, join and ping."""
+        self._store = self._kernel.find(STORE)
+        self._config = self._kernel.find(CLUSTER_CONFIG)
+        self._ownership = self._kernel.find(OWNERSHIP)
+        ip, _, port = self._me.address.rpartition(":")
+        server = FrameServer(ip, int(port), self._answer, MAX_CONNECTIONS)
+        server.start()
+        stack.callback(server.stop)
+        self._tasks: TaskGroup = self._kernel.tasks(stack)
+        self._tasks.spawn("join", self._join)
+        stack.callback(self._close_peers)
+
+    def call(self, name: str, message: PeerMessage, timeout_s: float) -> PeerMessage:
+        """Return a peer's answer; raise PeerSilent."""
+        peer = self._peers.get(name)
+        if peer is None:
+            raise PeerSilent(f"no peer {name}")
+        lane = peer.lane()
+        try:
+            answer = decode_message(lane.call(encode_message(message), timeout_s))
+        except CallFailed as error:
+            raise PeerSilent(str(error)) from None
+        except ValueError as error:
+            lane.close()
+            raise PeerSilent(f"unreadable answer: {error}") from None
+        peer.give_back(lane)
+        return answer
+
+    def answer_with(
+        self, kind: type[PeerMessage], answer: Callable[..., PeerMessage]
+    ) -> None:
+        """Let a function answer all messages of a kind."""
+        self._answers[kind] = answer
+
+    def heard(self, within_s: float) -> Sequence[Pong]:
+        """Return the last pong of each peer that answered within the time."""
+        since = steady_s() - within_s
+        return [
+            peer.last
+            for peer in self._peers.values()
+            if peer.last is not None and peer.heard_at >= since
+        ]
+
+    def card_of(self, incarnation: str) -> PeerCard | None:
+        """Return the card of a living or dead incarnation, if it was ever heard."""
+        return self._cards.get(incarnation)
+
+    def watch_closely(self, name: str) -> None:
+        """Ping this peer at the short period."""
+        if name != self._watched:
+            self._watched = name
+            if name in self._peers:
+                self._peers[name].wake.set()
+
+    def ping_now(self) -> None:
+        """Ping all peers at once, to spread a changed belief."""
+        for peer in self._peers.values():
+            peer.wake.set()
+
+    def _all_cards(self) -> list[PeerCard]:
+        return [self._me, *(peer.card for peer in self._peers.values())]
+
+    def _answer(self, data: bytes) -> bytes:
+        message = decode_message(data)
+        answer = self._answers.get(type(message))
+        if answer is None:
+            raise ValueError(f"no service answers {type(message).__name__}")
+        return encode_message(answer(message))
+
+    def _beliefs(self) -> dict[str, object]:
+        return {
+            "sender": self._me,
+            "owner": self._ownership.seen,
+            "config_version": self._config.current.version,
+            "store_reached": self._store.reached_directly,
+            "leaving": self._kernel.stopping.is_set(),
+        }
+
+    def _pong(self, ping: Ping) -> Pong:
+        self._hear(
+            Pong(
+                ping.sender,
+                ping.owner,
+                ping.config_version,
+                ping.store_reached,
+                ping.leaving,
+            )
+        )
+        return Pong(**self._beliefs())  # type: ignore[arg-type]
+
+    def _hear(self, pong: Pong) -> None:
+        card = pong.sender
+        self._meet(card)
+        peer = self._peers[card.name]
+        if peer.silent:
+            peer.silent = False
+            log("peer_heard", peer=card.name, incarnation=card.incarnation)
+        peer.last, peer.heard_at = pong, steady_s()
+
+    def _meet(self, card: PeerCard) -> None:
+        if card.name == self._me.name:
+            return
+        self._cards[card.incarnation] = card
+        peer = self._peers.get(card.name)
+        if peer is None:
+            self._peers[card.name] = _Peer(card)
+            self._tasks.spawn(f"peer {card.name}", self._watch, card.name)
+        elif peer.card != card:
+            if peer.card.address != card.address:
+                peer.close()
+            peer.card = card
+
+    def _watch(self, name: str) -> None:
+        peer = self._peers[name]
+        ip, _, port = peer.card.address.rpartition(":")
+        lane = FrameClient(ip, int(port))
+        while steady_s() - max(peer.heard_at, peer.known_since) < FORGET_S:
+            if peer.card.address != f"{ip}:{port}":
+                lane.close()
+                ip, _, port = peer.card.address.rpartition(":")
+                lane = FrameClient(ip, int(port))
+            self._ping(peer, lane)
+            peer.wake.wait(PING_S if self._is_close(peer.card) else SLOW_PING_S)
+            peer.wake.clear()
+        lane.close()
+        peer.close()
+        del self._peers[name]
+        log("peer_forgotten", peer=name, silent_s=FORGET_S)
+
+    def _ping(self, peer: _Peer, lane: FrameClient) -> None:
+        try:
+            ping = Ping(**self._beliefs())  # type: ignore[arg-type]
+            answer = decode_message(lane.call(encode_message(ping), PING_TIMEOUT_S))
+            if isinstance(answer, Pong):
+                self._hear(answer)
+        except (CallFailed, ValueError) as error:
+            silence = steady_s() - peer.heard_at
+            if not peer.silent and silence > SILENT_AFTER_S:
+                peer.silent = True
+                log("peer_silent", peer=peer.card.name, reason=str(error))
+
+    def _is_close(self, card: PeerCard) -> bool:
+        if card.name == self._watched or len(self._peers) <= CLOSE_PEERS:
+            return True
+        strongest = sorted(self._all_cards(), key=lambda one: (-one.power, one.name))
+        return card in strongest[:CLOSE_PEERS]
+
+    def _join(self) -> None:
+        for address in self._kernel.settings.seed_peers:
+            self._tasks.spawn(f"seed {address}", self._ask_seed, address)
+        written = False
+        while True:
+            try:
+                if not written:
+                    self._write_own_row()
+                    written = True
+                self._read_members()
+            except (StoreRefused, StoreUnknown) as error:
+                log("members_not_read", reason=str(error))
+                gevent.sleep(1.0)
+            else:
+                gevent.sleep(REREAD_MEMBERS_S)
+
+    def _write_own_row(self) -> None:
+        key = RowKey(*_MEMBERS, self._me.address)
+        self._store.commit(RowsTransaction(writes=(PutRow(key, encode(self._me)),)))
+
+    def _read_members(self) -> None:
+        for row in self._store.read_part(*_MEMBERS).rows:
+            try:
+                card = decode(PeerCard, row.value)
+            except ValueError as error:
+                log("member_unreadable", key=row.key.key, reason=str(error))
+                continue
+            if card.name not in self._peers:
+                self._meet(card)
+
+    def _ask_seed(self, address: str) -> None:
+        if address == self._me.address:
+            return
+        ip, _, port = address.rpartition(":")
+        lane = FrameClient(ip, int(port))
+        try:
+            answer = decode_message(
+                lane.call(encode_message(AskMembers()), PING_TIMEOUT_S)
+            )
+            if isinstance(answer, MembersAre):
+                for card in answer.cards:
+                    if card.name not in self._peers:
+                        self._meet(card)
+        except (CallFailed, ValueError) as error:
+            log("seed_silent", address=address, reason=str(error))
+        finally:
+            lane.close()
+
+    def _close_peers(self) -> None:
+        for peer in self._peers.values():
+            peer.close()
--- /dev/null
+++ b/src/primrosehub/services/scheduler.py
@@ -0,0 +1,121 @@
+"""Run the jobs while this daemon owns them, and answer questions about them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from contextlib import ExitStack
+
+from primrosehub.core.batch import AcceptedJob, JobState
+from primrosehub.core.clock import steady_s
+from primrosehub.core.logs import log
+from primrosehub.core.peering import (
+    AskState,
+    AskWaiting,
+    JobCancelled,
+    JobsAccepted,
+    Noted,
+    NotOwner,
+    StateIs,
+    WaitingIs,
+)
+from primrosehub.kernel import Kernel, TaskGroup, log_task_error
+from primrosehub.services._owner_term import OwnerTerm
+from primrosehub.services.names.cluster import PEERING
+
+
+class SchedulerService:
+    """Hold the current term of ownership, if there is one."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._term: OwnerTerm | None = None
+
+    def start(self, stack: ExitStack) -> None:
+        """Answer peers that ask the owner."""
+        peering = self._kernel.find(PEERING)
+        peering.answer_with(JobsAccepted, self._on_accepted)
+        peering.answer_with(JobCancelled, self._on_cancelled)
+        peering.answer_with(AskState, self._on_state)
+        peering.answer_with(AskWaiting, self._on_waiting)
+        stack.callback(self.stop_leading)
+
+    def lead(self, epoch: int) -> None:
+        """Begin a term of ownership."""
+        self.stop_leading()
+        tasks = TaskGroup(log_task_error)
+        term = OwnerTerm(self._kernel, epoch, tasks)
+        self._term = term
+        log("term_begins", epoch=epoch)
+        tasks.spawn_lasting("term", term.run)
+
+    def stop_leading(self) -> None:
+        """End the term, at once."""
+        term, self._term = self._term, None
+        if term is not None:
+            log(
+                "term_ends",
+                epoch=term.epoch,
+                lasted_s=round(steady_s() - term.began_at),
+            )
+            term.close()
+
+    def flush(self) -> None:
+        """Store all progress that is not stored yet; raise StoreRefused."""
+        if self._term is not None and self._term.loaded.is_set():
+            self._term.progress.flush()
+
+    def state_of(self, job: str, team: str) -> JobState | None:
+        """Return a known job's state, else None; raise LookupError without a term."""
+        known = self._loaded_term().book.jobs.get(job)
+        if known is None or known.accepted.team != team:
+            return None
+        if known.shown is JobState.QUEUED and known.begun and not known.final:
+            return JobState.RUNNING
+        if known.final and known.shown is not known.state:
+            return JobState.RUNNING
+        return known.shown
+
+    def waiting_in(self, queue: str) -> int:
+        """Return how many jobs of a queue have not begun; raise LookupError."""
+        return self._loaded_term().book.waiting_in(queue)
+
+    def add_jobs(self, jobs: Sequence[AcceptedJob]) -> None:
+        """Take note of stored jobs; raise LookupError without a term."""
+        term = self._loaded_term()
+        for job in jobs:
+            term.add_job(job, None, False)
+
+    def cancel(self, job: str) -> None:
+        """Take note of a stored cancellation; raise LookupError without a term."""
+        self._loaded_term().cancel(job)
+
+    def _loaded_term(self) -> OwnerTerm:
+        if self._term is None or not self._term.loaded.is_set():
+            raise LookupError("this daemon does not own the jobs")
+        return self._term
+
+    def _on_accepted(self, message: JobsAccepted) -> Noted | NotOwner:
+        try:
+            self.add_jobs(message.jobs)
+        except LookupError:
+            return NotOwner()
+        return Noted()
+
+    def _on_cancelled(self, message: JobCancelled) -> Noted | NotOwner:
+        try:
+            self.cancel(message.job)
+        except LookupError:
+            return NotOwner()
+        return Noted()
+
+    def _on_state(self, message: AskState) -> StateIs | NotOwner:
+        try:
+            return StateIs(self.state_of(message.job, message.team))
+        except LookupError:
+            return NotOwner()
+
+    def _on_waiting(self, message: AskWaiting) -> WaitingIs | NotOwner:
+        try:
+            return WaitingIs(self.waiting_in(message.queue))
+        except LookupError:
+            return NotOwner()
--- /dev/null
+++ b/src/primrosehub/services/store.py
@@ -0,0 +1,167 @@
+"""The row store, reached directly or, when it turns us away, through a peer."""
+
+from __future__ import annotations
+
+import random
+from contextlib import ExitStack
+
+import gevent
+from gevent.event import Event
+
+from primrosehub.border.http_client import HttpEndpoint, NoAnswer, NotSent
+from primrosehub.core.clock import steady_s
+from primrosehub.core.logs import log
+from primrosehub.core.peering import RelayCall, RelayFailed, RelayReply
+from primrosehub.core.rows import (
+    RowKey,
+    RowsOutcome,
+    RowsPage,
+    RowsTransaction,
+    StoredRow,
+    StoreRefused,
+    StoreUnknown,
+)
+from primrosehub.kernel import Kernel
+from primrosehub.platform.store import RowStore, StoreCall, StoreReply
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.cluster import PEERING, PeerSilent
+
+# Well above the slowest answers of a store that still works (60 x 6 ms).
+CALL_TIMEOUT_S = 1.0
+PROBE_S = 0.5  # how often a store that turned us away is tried again
+PEER_FRESH_S = 1.0  # a relay must have answered a ping within this time
+RELAY_TRIES = 2
+RELAY_MARGIN_S = 0.3  # the way to a peer and back
+_TURNED_AWAY = (429, 503)
+_PROBE_KEY = RowKey("owner", "s", "cell")
+
+
+class StoreService:
+    """Carry calls to the store and watch whether it serves this daemon."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        ip, _, port = kernel.settings.store.rpartition(":")
+        self._endpoint = HttpEndpoint(ip, int(port))
+        self._rows = RowStore(self._carry)
+        self._direct_rows = RowStore(self._carry_directly)
+        self._reached = True
+        self._lost = Event()
+
+    @property
+    def reached_directly(self) -> bool:
+        """Tell whether the store answered this daemon's last direct call."""
+        return self._reached
+
+    def start(self, stack: ExitStack) -> None:
+        """Answer peers' relayed calls and probe a store that turned us away."""
+        self._peering = self._kernel.find(PEERING)
+        self._metrics = self._kernel.find(METRICS)
+        self._peering.answer_with(RelayCall, self._relay)
+        self._kernel.tasks(stack).spawn("store-probe", self._probe)
+        stack.callback(self._endpoint.close)
+
+    def commit(self, transaction: RowsTransaction) -> RowsOutcome:
+        """Apply a transaction; raise StoreRefused or StoreUnknown."""
+        return self._rows.commit(transaction, CALL_TIMEOUT_S)
+
+    def read_one(self, key: RowKey) -> StoredRow | None:
+        """Return a row or None; raise StoreRefused."""
+        return self._rows.read_one(key, CALL_TIMEOUT_S)
+
+    def read_part(self, table: str, part: str) -> RowsPage:
+        """Return all rows of a part; raise StoreRefused."""
+        return self._rows.read_part(table, part, CALL_TIMEOUT_S)
+
+    def changes(self, table: str, after: int, wait_s: float) -> RowsPage:
+        """Return the changes after a version; raise StoreRefused or HistoryLost."""
+        return self._rows.changes(table, after, wait_s, wait_s + CALL_TIMEOUT_S)
+
+    def _carry(self, call: StoreCall) -> StoreReply:
+        if self._reached:
+            try:
+                reply = self._carry_directly(call)
+            except StoreRefused as error:
+                self._lose(str(error))
+            else:
+                if reply.status not in _TURNED_AWAY:
+                    return reply
+                self._lose(f"status {reply.status}")
+        return self._carry_by_peer(call)
+
+    def _carry_directly(self, call: StoreCall) -> StoreReply:
+        began = steady_s()
+        try:
+            response = self._endpoint.exchange(
+                call.method,
+                call.target,
+                (("Content-Type", "application/json"),) if call.body else (),
+                call.body,
+                timeout_s=call.timeout_s,
+            )
+        except NotSent as error:
+            self._metrics.count("store_calls", outcome="not_sent")
+            raise StoreRefused(str(error)) from None
+        except NoAnswer as error:
+            self._metrics.count("store_calls", outcome="no_answer")
+            self._endpoint.close()
+            if call.timeout_s <= CALL_TIMEOUT_S:
+                self._lose(str(error))
+            raise StoreUnknown(str(error)) from None
+        self._metrics.count("store_calls", outcome=str(response.status))
+        if call.timeout_s <= CALL_TIMEOUT_S:
+            self._metrics.observe("store_seconds", steady_s() - began)
+        return StoreReply(response.status, response.body)
+
+    def _carry_by_peer(self, call: StoreCall) -> StoreReply:
+        relays = [
+            pong.sender.name
+            for pong in self._peering.heard(PEER_FRESH_S)
+            if pong.store_reached
+        ]
+        message = RelayCall(call.method, call.target, call.body, call.timeout_s)
+        for name in random.sample(relays, min(RELAY_TRIES, len(relays))):
+            try:
+                answer = self._peering.call(
+                    name, message, call.timeout_s + RELAY_MARGIN_S
+                )
+            except PeerSilent as error:
+                raise StoreUnknown(f"relay {name}: {error}") from None
+            self._metrics.count("store_relayed", outcome=type(answer).__name__)
+            match answer:
+                case RelayReply(status, body):
+                    return StoreReply(status, body)
+                case RelayFailed(False, detail):
+                    raise StoreUnknown(f"relay {name}: {detail}")
+        raise StoreRefused("the store does not serve this daemon or any peer")
+
+    def _relay(self, call: RelayCall) -> RelayReply | RelayFailed:
+        try:
+            reply = self._carry_directly(
+                StoreCall(call.method, call.target, call.body, call.timeout_s)
+            )
+        except StoreRefused as error:
+            return RelayFailed(True, str(error))
+        except StoreUnknown as error:
+            return RelayFailed(False, str(error))
+        return RelayReply(reply.status, reply.body)
+
+    def _lose(self, reason: str) -> None:
+        if self._reached:
+            self._reached = False
+            log("store_lost", reason=reason)
+        self._lost.set()
+
+    def _probe(self) -> None:
+        while True:
+            self._lost.wait()
+            since = steady_s()
+            while not self._reached:
+                try:
+                    self._direct_rows.read_one(_PROBE_KEY, CALL_TIMEOUT_S)
+                except StoreRefused:
+                    gevent.sleep(PROBE_S)
+                else:
+                    self._reached = True
+                    log("store_regained", after_s=round(steady_s() - since, 3))
+            self._lost.clear()
