Count a failed attempt once, and flush progress one batch at a time

(3) A host on which a task had failed was barred for it, so a step with few allowed hosts could never start.

Ruled out: attempts of two epochs sharing a number (they never do); a lost progress row.

Change: failed attempts are kept by number; a flush holds a lock and takes its marks inside; hosts with a failure are a last choice instead of barred.

Log lines are now written in blocks of at most 4,000 bytes; larger ones came out mangled.

--- a/src/primrosehub/core/batch.py
+++ b/src/primrosehub/core/batch.py
@@ -81,13 +81,13 @@
     """Hold the durable part of a job's progress.
 
     ``done`` maps ``OCCURRENCE.STEP`` to the indexes of tasks that ended well,
-    ``failures`` maps ``OCCURRENCE.STEP.INDEX`` to the number of failed attempts and
+    ``failures`` maps ``OCCURRENCE.STEP.INDEX`` to the numbers of failed attempts and
     ``checkpoints`` likewise to the newest checkpoint of a task that is not running.
     """
 
     state: JobState = JobState.QUEUED
     done: dict[str, list[int]] = field(default_factory=dict)
-    failures: dict[str, int] = field(default_factory=dict)
+    failures: dict[str, list[int]] = field(default_factory=dict)
     checkpoints: dict[str, str] = field(default_factory=dict)
 
 
--- a/src/primrosehub/core/logs.py
+++ b/src/primrosehub/core/logs.py
@@ -15,6 +15,7 @@
 _OMITTED = {"task_uuid", "task_level", "timestamp", "message_type"}
 MAX_PENDING_LINES = 5000  # about one second of the busiest daemon
 FLUSH_S = 0.1
+BLOCK_BYTES = 4000  # below the size up to which writes to a pipe are atomic
 
 
 def log(event: str, **fields: Any) -> None:
@@ -66,12 +67,18 @@
             self._wake.wait()
             gevent.sleep(FLUSH_S)
             self._wake.clear()
-            text = "".join(self._lines)
-            self._lines.clear()
             if self._dropped:
-                text += f"event=log_lines_dropped count={self._dropped}\n"
+                self._lines.append(f"event=log_lines_dropped count={self._dropped}\n")
                 self._dropped = 0
-            self._write(text.encode())
+            while self._lines:
+                self._write(self._next_block())
+
+    def _next_block(self) -> bytes:
+        """Return whole lines that a pipe takes in one piece, at least one line."""
+        block = self._lines.popleft().encode()
+        while self._lines and len(block) + len(self._lines[0]) <= BLOCK_BYTES:
+            block += self._lines.popleft().encode()
+        return block
 
     def _write(self, data: bytes) -> None:
         while data:
--- a/src/primrosehub/policy/packing.py
+++ b/src/primrosehub/policy/packing.py
@@ -49,7 +49,8 @@
 class Demand:
     """Hold the waiting tasks of one step, all of the same need.
 
-    ``tasks`` are indexes into the step, ``avoid`` the hosts barred for each.
+    ``tasks`` are indexes into the step, ``failed_on`` the hosts on which each failed,
+    which are taken only if no other has room.
     ``allowed`` names hosts with a valid ticket, None means any. ``expired`` names
     hosts that would be allowed with a new ticket. ``placed`` counts tasks of the step
     on each host. Demands come in the order in which they are to be served.
@@ -64,7 +65,7 @@
     data_rack: str = ""
     one_rack: bool = False
     max_per_host: int = 0
-    avoid: dict[int, set[str]] = field(default_factory=dict)
+    failed_on: dict[int, set[str]] = field(default_factory=dict)
     allowed: frozenset[str] | None = None
     expired: frozenset[str] = frozenset()
     placed: dict[str, int] = field(default_factory=dict)
@@ -168,7 +169,7 @@
     placed = dict(demand.placed)
     chosen: list[tuple[int, HostSpace]] = []
     for task in demand.tasks[:count]:
-        space = _best(demand, candidates, demand.avoid.get(task, ()), placed)
+        space = _best(demand, candidates, demand.failed_on.get(task, ()), placed)
         if space is None:
             if demand.gang:
                 break
@@ -186,17 +187,18 @@
 def _best(
     demand: Demand,
     candidates: list[HostSpace],
-    barred: set[str] | tuple[()],
+    failed_on: set[str] | tuple[()],
     placed: dict[str, int],
 ) -> HostSpace | None:
-    best, best_score = None, (True, 0.0, 0.0)
+    best, best_score = None, (True, True, 0.0, 0.0)
     for space in candidates:
-        if not space.fits(demand.need) or space.host in barred:
+        if not space.fits(demand.need):
             continue
         if demand.max_per_host and placed.get(space.host, 0) >= demand.max_per_host:
             continue
         far = bool(demand.data_rack) and space.rack != demand.data_rack
-        score = (far, space.risk, space.left_after(demand.need))
+        failed_here = space.host in failed_on
+        score = (failed_here, far, space.risk, space.left_after(demand.need))
         if best is None or score < best_score:
             best, best_score = space, score
     return best
--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -46,7 +46,7 @@
     phase: TaskPhase = TaskPhase.WAITING
     attempt: int = 0
     host: str = ""
-    failures: int = 0
+    failed_attempts: set[int] = field(default_factory=set)
     checkpoint: str = ""
     failed_on: set[str] = field(default_factory=set)
     unsure: bool = False
@@ -216,17 +216,23 @@
                 self._finish(job, JobState.COMPLETED)
         return stops
 
-    def end_failed(self, task: TaskRun, host: str) -> list[StopTask]:
-        """Take note that an attempt failed; a job out of attempts is stopped."""
+    def end_failed(self, task: TaskRun, attempt: int, host: str) -> list[StopTask]:
+        """Take note that an attempt failed; a job out of attempts is stopped.
+
+        A host lists an end until it is acknowledged, so a new owner may see one that
+        was counted before; several ends of one gang's attempt count once.
+        """
         step = task.step
         counted = step.tasks[0] if step.spec.gang else task
-        counted.failures += 1
+        if attempt in counted.failed_attempts:
+            return []
+        counted.failed_attempts.add(attempt)
         for one in step.tasks if step.spec.gang else (task,):
             one.failed_on.add(host)
         job = step.job
         self.dirty.add(job.accepted.job)
         limit = job.queue.max_attempts if job.queue else 1
-        if step.spec.long_running or counted.failures < limit or job.final:
+        if step.spec.long_running or len(counted.failed_attempts) < limit or job.final:
             return []
         self._finish(job, JobState.FAILED)
         return self._stops(job, "job failed")
@@ -236,7 +242,7 @@
         if job.state in FINAL_STATES:
             return JobProgress(state=job.state)
         done: dict[str, list[int]] = {}
-        failures: dict[str, int] = {}
+        failures: dict[str, list[int]] = {}
         checkpoints: dict[str, str] = {}
         for (occurrence, number), step in job.steps.items():
             ended = [t.id.index for t in step.tasks if t.phase is TaskPhase.DONE]
@@ -244,8 +250,8 @@
                 done[f"{occurrence}.{number}"] = ended
             for task in step.tasks:
                 name = f"{occurrence}.{number}.{task.id.index}"
-                if task.failures:
-                    failures[name] = task.failures
+                if task.failed_attempts:
+                    failures[name] = sorted(task.failed_attempts)
                 if task.checkpoint and not task.host:
                     checkpoints[name] = task.checkpoint
         return JobProgress(JobState.RUNNING, done, failures, checkpoints)
@@ -289,8 +295,8 @@
 
     def _restore(self, job: JobRun, progress: JobProgress) -> None:
         job.begun = True
-        for name, count in progress.failures.items():
-            self._task_named(job, name).failures = count
+        for name, attempts in progress.failures.items():
+            self._task_named(job, name).failed_attempts.update(attempts)
         for name, checkpoint in progress.checkpoints.items():
             self._task_named(job, name).checkpoint = checkpoint
         for name, indexes in progress.done.items():
@@ -368,7 +374,7 @@
         case EndKind.DONE:
             return book.end_done(task)
         case EndKind.FAILED:
-            stops = book.end_failed(task, host)
+            stops = book.end_failed(task, task.attempt, host)
         case EndKind.STOPPED | EndKind.LAPSED | EndKind.BROKEN | EndKind.ALONE:
             book.dirty.add(task.id.job)
             stops = []
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -238,7 +238,7 @@
         data_rack=step.spec.data_rack,
         one_rack=step.spec.one_rack,
         max_per_host=step.spec.max_per_host,
-        avoid={task.id.index: task.failed_on for task in waiting if task.failed_on},
+        failed_on={task.id.index: task.failed_on for task in waiting if task.failed_on},
         allowed=allowed,
         expired=expired,
         placed=placed,
--- a/src/primrosehub/services/_progress_writer.py
+++ b/src/primrosehub/services/_progress_writer.py
@@ -6,6 +6,7 @@
 
 import gevent
 from gevent.event import Event
+from gevent.lock import RLock
 
 from primrosehub.border.codec import encode
 from primrosehub.core.clock import steady_s
@@ -31,6 +32,7 @@
     def __init__(self, term: OwnerTerm) -> None:
         self._term = term
         self._wake = Event()
+        self._flushing = RLock()
         self._roster: dict[str, str] = {}
 
     def wake(self) -> None:
@@ -53,7 +55,15 @@
                 return
 
     def flush(self) -> None:
-        """Store all progress; raise StoreRefused or OwnershipLost."""
+        """Store all progress; raise StoreRefused or OwnershipLost.
+
+        One at a time: a second flush would take rows that the first has not stored
+        yet for stored, and acknowledge their ends.
+        """
+        with self._flushing:
+            self._flush()
+
+    def _flush(self) -> None:
         term = self._term
         roster_changed = self._roster_wanted() != self._roster
         marks = [(session, session.noted_end) for session in term.sessions.values()]
--- a/src/primrosehub/services/_reports.py
+++ b/src/primrosehub/services/_reports.py
@@ -93,7 +93,7 @@
         case EndKind.DONE:
             return term.book.end_done(task)
         case EndKind.FAILED:
-            return term.book.end_failed(task, host)
+            return term.book.end_failed(task, end.attempt, host)
     return []
 
 
