Stand in for the platform in one process, and let a silent host's lease run out

The first run of these tests showed that a host whose answers are lost, but which still hears, had its lease renewed for ever, so its work never moved.

A host that does not answer is asked without renewing its lease.

--- a/src/primrosehub/border/http_client.py
+++ b/src/primrosehub/border/http_client.py
@@ -56,8 +56,11 @@
     headers: Iterable[tuple[str, str]] = (),
     body: bytes = b"",
 ) -> bytes:
-    """Return the bytes of an HTTP/1.1 request."""
-    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
+    """Return the bytes of an HTTP/1.1 request; a Host header replaces ``host``."""
+    headers = list(headers)
+    lines = [f"{method} {target} HTTP/1.1"]
+    if all(name.lower() != "host" for name, _ in headers):
+        lines.append(f"Host: {host}")
     lines += [f"{name}: {value}" for name, value in headers]
     if body or method in ("POST", "PUT", "PATCH"):
         lines.append(f"Content-Length: {len(body)}")
--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -198,7 +198,8 @@
     def _ask(self, wait_s: float) -> None:
         sent = steady_s()
         lease_until_ms = 0
-        if self._clock is not None:
+        # A host that does not answer may still hear: its lease must be let run out.
+        if self._clock is not None and self.answering:
             lease_until_ms = self._clock.latest_ms(sent) + int(LEASE_S * 1000)
             self._lease_until_ms = max(self._lease_until_ms, lease_until_ms)
         report = self.client.hold(
--- /dev/null
+++ b/src/primrosehub_standins/hub_cell.py
@@ -0,0 +1,267 @@
+"""A cell in one process: stand-ins for the platform and any number of hub daemons.
+
+Each daemon has its own kernel, ports and door to the store; killing one closes its
+sockets without any leave-taking, as the end of its process would.
+"""
+
+from __future__ import annotations
+
+import random
+import socket
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from typing import Any
+
+import gevent
+import orjson
+
+from primrosehub.binaries.hub import MANIFEST, leave
+from primrosehub.border.http_client import HttpEndpoint, Response
+from primrosehub.border.hub_settings import HubSettings
+from primrosehub.core.clock import steady_s
+from primrosehub.kernel import Kernel
+from primrosehub.services.names import cluster
+from primrosehub_standins.row_store import Door, RowStoreStandin
+from primrosehub_standins.web import Start, json_of, reply_json, serve
+from primrosehub_standins.worker_host import HostEvent, WorkerHostStandin
+
+IP = "127.0.0.1"
+SERVICE = "workshop"
+HOST_NAME = "jobs.example"
+PREFIX = "/quotes/"
+API_KEY = "key-of-blue"
+ROOM = {"cpu": 8000, "mem-mb": 16384, "gpu": 0}
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind((IP, 0))
+        return sock.getsockname()[1]
+
+
+@dataclass(slots=True)
+class HubHandle:
+    """Hold one daemon of the cell."""
+
+    settings: HubSettings
+    door: Door
+    kernel: Kernel | None = None
+    stack: ExitStack = field(default_factory=ExitStack)
+
+    @property
+    def leading(self) -> bool:
+        """Tell whether the daemon owns the jobs."""
+        if self.kernel is None:
+            return False
+        return self.kernel.find(cluster.OWNERSHIP).leading
+
+    def start(self) -> None:
+        """Start the daemon as a new incarnation."""
+        self.kernel = Kernel(self.settings)
+        for name, factory in MANIFEST:
+            self.kernel.load(name, factory)
+        self.stack = ExitStack()
+        self.kernel.start(self.stack)
+
+    def kill(self) -> None:
+        """End the daemon at once."""
+        self.kernel = None
+        self.stack.close()
+
+    def stop(self) -> None:
+        """End the daemon as SIGTERM does."""
+        if self.kernel is not None:
+            self.kernel.stopping.set()
+            leave(self.kernel)
+        self.kill()
+
+
+class HubCell:
+    """Start stand-ins and daemons, act as operator and caller, and keep a journal."""
+
+    def __init__(self, hubs: int = 2, hosts: int = 3, advice: bool = False) -> None:
+        self.store = RowStoreStandin()
+        self.journal: list[HostEvent] = []
+        self.hosts = [WorkerHostStandin(f"i-{n}", self.journal) for n in range(hosts)]
+        self.hubs: list[HubHandle] = []
+        self.advised: list[Any] = []
+        self._servers: list[Any] = []
+        self._addresses: dict[str, str] = {}
+        self._next_job = random.getrandbits(40)
+        self._advice_port = self._serve(self._advise) if advice else 0
+        self._advice_on = advice
+        for host in self.hosts:
+            self._addresses[host.host] = f"{IP}:{self._serve(host.app)}"
+            self.list_host(host)
+        self.version = 0
+        self.configure()
+        for number in range(hubs):
+            self.add_hub(number)
+
+    def __enter__(self) -> HubCell:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for hub in self.hubs:
+            hub.kill()
+        for server in self._servers:
+            server.stop(timeout=0)
+
+    def add_hub(self, number: int) -> HubHandle:
+        """Add a daemon and start it."""
+        door = Door()
+        ports = [free_port() for _ in range(4)]
+        settings = HubSettings(
+            name=f"hub-{number}",
+            zone=f"zone-{number % 2}",
+            ip=IP,
+            callers=f"{IP}:{ports[0]}",
+            ready=f"{IP}:{ports[1]}",
+            peer=f"{IP}:{ports[2]}",
+            ops_ports=(ports[3],),
+            store=f"{IP}:{self._serve(self.store.app(door))}",
+            advice=f"{IP}:{self._advice_port}" if self._advice_on else None,
+        )
+        hub = HubHandle(settings, door)
+        self.hubs.append(hub)
+        hub.start()
+        return hub
+
+    def configure(self, **changes: Any) -> None:
+        """Put a configuration of one queue, one team and one pool."""
+        self.version += 1
+        route: dict[str, Any] = {
+            "name": "quotes",
+            "host": HOST_NAME,
+            "prefix": PREFIX,
+            "service": SERVICE,
+            "max-attempts": 3,
+            "slack-factor": 2.0,
+            "target-runtime-ms": 500,
+        }
+        if self._advice_on:
+            route["recommendation"] = {
+                "decide-latency-ms": 10,
+                "per-worker-ms": 1,
+                "validity-ms": 2000,
+            }
+        config = {
+            "version": self.version,
+            "routes": [route],
+            "services": [{"name": SERVICE}],
+            "tenants": [{"name": "blue", "api-keys": [API_KEY], "weight": 50}],
+        }
+        self.store.put("op", "config", config | changes)
+
+    def list_host(self, host: WorkerHostStandin, state: str = "ready") -> None:
+        """Write a host's entry."""
+        entry = {
+            "service": SERVICE,
+            "address": self._addresses[host.host],
+            "zone": "zone-0",
+            "state": state,
+            "free-capacity": ROOM,
+            "labels": ["a", "r1"],
+        }
+        self.store.put("servers", host.host, entry)
+
+    def leader(self, timeout_s: float = 8.0) -> HubHandle:
+        """Return the daemon that owns the jobs, waiting for one."""
+        return self.until(
+            lambda: next((hub for hub in self.hubs if hub.leading), None),
+            "no daemon took the ownership",
+            timeout_s,
+        )
+
+    def until(self, probe: Any, failure: str, timeout_s: float = 10.0) -> Any:
+        """Return the first true result of the probe; raise AssertionError."""
+        end = steady_s() + timeout_s
+        while steady_s() < end:
+            result = probe()
+            if result:
+                return result
+            gevent.sleep(0.02)
+        raise AssertionError(f"{failure} within {timeout_s} s")
+
+    def call(
+        self, hub: HubHandle, method: str, path: str, body: bytes = b"", **headers: str
+    ) -> Response:
+        """Send one caller's request to a daemon."""
+        ip, _, port = hub.settings.callers.rpartition(":")
+        endpoint = HttpEndpoint(ip, int(port))
+        sent = {"Host": HOST_NAME, "Authorization": f"Bearer {API_KEY}"} | headers
+        try:
+            return endpoint.exchange(
+                method, path, tuple(sent.items()), body, timeout_s=5.0
+            )
+        finally:
+            endpoint.close()
+
+    def new_id(self) -> str:
+        """Return a job id that was not used before."""
+        self._next_job += 1
+        return f"{self._next_job:016x}"
+
+    def submit(
+        self, hub: HubHandle, *steps: dict[str, Any], spec: str = "run 0.1"
+    ) -> str:
+        """Submit a job that must be accepted; return its id."""
+        job = self.new_id()
+        phases = list(steps) or [{"count": 1, "cpu": 1000, "mem-mb": 256}]
+        body = orjson.dumps({"spec": spec, "phases": phases})
+        answer = self.call(hub, "POST", PREFIX + job, body)
+        assert answer.status == 200, f"{answer.status} {answer.body!r}"
+        return job
+
+    def state(self, hub: HubHandle, job: str) -> str:
+        """Return a job's state as a caller is told, or the status of an error."""
+        answer = self.call(hub, "GET", PREFIX + job)
+        if answer.status != 200:
+            return str(answer.status)
+        return orjson.loads(answer.body)["state"]
+
+    def wait_for(
+        self, hub: HubHandle, job: str, state: str, timeout_s: float = 10.0
+    ) -> None:
+        """Wait until a job is shown in a state."""
+        self.until(
+            lambda: self.state(hub, job) == state,
+            f"job {job} was not shown as {state}",
+            timeout_s,
+        )
+
+    def starts(self, job: str) -> list[HostEvent]:
+        """Return the starts of a job's tasks, in order."""
+        return [
+            event
+            for event in self.journal
+            if event.what == "start" and event.task.startswith(job)
+        ]
+
+    def _serve(self, app: Any) -> int:
+        server = serve(IP, 0, app)
+        self._servers.append(server)
+        return server.server_port
+
+    def _advise(self, environ: dict[str, Any], start: Start) -> list[bytes]:
+        body = json_of(environ)
+        self.advised.append(body)
+        gevent.sleep(0.01)
+        allowed = [[host, f"ticket-{host}"] for host in body["workers"][:2]]
+        return reply_json(start, {"allowed": allowed, "validity-ms": 2000})
+
+
+def overlaps(journal: list[HostEvent]) -> list[str]:
+    """Return each time at which a task ran in two places, or after it was done."""
+    found: list[str] = []
+    running: dict[str, str] = {}
+    for event in sorted(journal, key=lambda event: event.at):
+        if event.what == "start":
+            if event.task in running:
+                where = f"on {event.host} beside {running[event.task]}"
+                found.append(f"{event.task} started {where}")
+            running[event.task] = event.host
+        elif running.get(event.task) == event.host:
+            del running[event.task]
+    return found
--- /dev/null
+++ b/src/primrosehub_standins/row_store.py
@@ -0,0 +1,209 @@
+"""Stand in for the platform's row store, with faults for each door to it.
+
+A door is one port; each daemon gets its own, so that one can be turned away alone.
+"""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import Any
+from urllib.parse import parse_qs
+
+import gevent
+import orjson
+from gevent.event import Event
+
+from primrosehub.core.clock import steady_s
+from primrosehub_standins.web import Cut, Hang, Start, body_of, json_of, reply_json
+
+Key = tuple[str, str, str]
+
+
+class DoorState(Enum):
+    """Name how a door treats calls."""
+
+    OPEN = auto()
+    BUSY = auto()
+    SILENT = auto()
+    RESET = auto()
+
+
+@dataclass(slots=True)
+class Door:
+    """Hold one door's state; ``lose_answers`` counts writes done without an answer.
+
+    ``late_s`` delays a lost write, which then happens if its condition still holds.
+    """
+
+    state: DoorState = DoorState.OPEN
+    lose_answers: int = 0
+    late_s: float = 0.0
+    calls: int = 0
+
+
+@dataclass(slots=True)
+class _Cell:
+    value: bytes
+    version: int
+
+
+@dataclass(slots=True)
+class _Change:
+    key: Key
+    version: int
+    value: bytes | None
+
+
+@dataclass(slots=True)
+class RowStoreStandin:
+    """Keep rows, apply transactions, and serve changes to those who wait."""
+
+    rows: dict[Key, _Cell] = field(default_factory=dict)
+    version: int = 0
+    history: list[_Change] = field(default_factory=list)
+    history_from: int = 0
+    _changed: Event = field(default_factory=Event)
+
+    def app(self, door: Door) -> Callable[[dict[str, Any], Start], list[bytes]]:
+        """Return the WSGI application behind a door."""
+
+        def answer(environ: dict[str, Any], start: Start) -> list[bytes]:
+            door.calls += 1
+            match door.state:
+                case DoorState.BUSY:
+                    return reply_json(start, {}, "503 Busy")
+                case DoorState.SILENT:
+                    raise Hang
+                case DoorState.RESET:
+                    raise Cut
+            return self._route(door, environ, start)
+
+        return answer
+
+    def put(self, table: str, key: str, value: Any) -> int:
+        """Write a row as the operator or a worker host does; return its version."""
+        self._apply({(table, "", key): orjson.dumps(value)}, ())
+        return self.version
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self._apply({}, ((table, "", key),))
+
+    def forget_history(self) -> None:
+        """Drop all changes, so that whoever follows them has to read again."""
+        self.history.clear()
+        self.history_from = self.version
+        self._wake()
+
+    def value(self, table: str, part: str, key: str) -> Any:
+        """Return a row's decoded value, or None."""
+        cell = self.rows.get((table, part, key))
+        return orjson.loads(cell.value) if cell else None
+
+    def _route(self, door: Door, environ: dict[str, Any], start: Start) -> list[bytes]:
+        query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
+        match environ["PATH_INFO"]:
+            case "/primrosehub/rows-tx":
+                return self._transact(door, json_of(environ), start)
+            case "/primrosehub/rows-get":
+                return self._get(query, start)
+            case "/primrosehub/rows-feed":
+                return self._feed(query, start)
+        body_of(environ)
+        return reply_json(start, {}, "404 Not Found")
+
+    def _transact(self, door: Door, body: Any, start: Start) -> list[bytes]:
+        if door.lose_answers > 0:
+            door.lose_answers -= 1
+            if door.late_s:
+                gevent.spawn_later(door.late_s, self._commit, body)
+            else:
+                self._commit(body)
+            raise Hang if door.late_s else Cut
+        conflicts = self._commit(body)
+        answer = self._stamp({})
+        if conflicts is None:
+            return reply_json(start, answer)
+        answer["rows"] = [self._row(key) for key in conflicts if key in self.rows]
+        return reply_json(start, answer, "412 Conflict")
+
+    def _commit(self, body: Any) -> list[Key] | None:
+        expects = [(_key(row), row["row-version"]) for row in body["expected-revision"]]
+        parts = {key[1] for key, _ in expects} | {row["part"] for row in body["write"]}
+        assert len(parts) <= 1, f"a transaction over several parts: {parts}"
+        for key, version in expects:
+            cell = self.rows.get(key)
+            if (cell.version if cell else 0) != version:
+                return [key for key, _ in expects]
+        writes = {_key(row): b64decode(row["value"]) for row in body["write"]}
+        self._apply(writes, tuple(_key(row) for row in body["remove"]))
+        return None
+
+    def _apply(self, writes: dict[Key, bytes], removes: tuple[Key, ...]) -> None:
+        self.version += 1
+        for key, value in writes.items():
+            self.rows[key] = _Cell(value, self.version)
+            self.history.append(_Change(key, self.version, value))
+        for key in removes:
+            if self.rows.pop(key, None):
+                self.history.append(_Change(key, self.version, None))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = Event()
+
+    def _get(self, query: dict[str, str], start: Start) -> list[bytes]:
+        table, part = query["table-name"], query.get("part", "")
+        first, beyond = query.get("from", ""), query.get("target", "")
+        keys = sorted(
+            key
+            for key in self.rows
+            if key[:2] == (table, part)
+            and key[2] >= first
+            and (not beyond or key[2] < beyond)
+        )
+        limit = int(query.get("result-limit", 500))
+        answer = self._stamp({"rows": [self._row(key) for key in keys[:limit]]})
+        return reply_json(start, answer | {"has-more": len(keys) > limit})
+
+    def _feed(self, query: dict[str, str], start: Start) -> list[bytes]:
+        table, after = query["table-name"], int(query["after"])
+        until = steady_s() + int(query["wait-ms"]) / 1000
+        while True:
+            if after < self.history_from:
+                return reply_json(start, {}, "410 Gone")
+            changes = [
+                change
+                for change in self.history
+                if change.version > after and change.key[0] == table
+            ]
+            left = until - steady_s()
+            if changes or left <= 0:
+                rows = [_change_row(change) for change in changes]
+                return reply_json(start, self._stamp({"rows": rows}))
+            self._changed.wait(left)
+
+    def _row(self, key: Key) -> dict[str, Any]:
+        cell = self.rows[key]
+        return _change_row(_Change(key, cell.version, cell.value))
+
+    def _stamp(self, answer: dict[str, Any]) -> dict[str, Any]:
+        now_ms = int(steady_s() * 1000)
+        return answer | {"row-version": self.version, "current-time-ms": now_ms}
+
+
+def _key(row: Any) -> Key:
+    return (row["table-name"], row.get("part", ""), row["key"])
+
+
+def _change_row(change: _Change) -> dict[str, Any]:
+    table, part, key = change.key
+    row: dict[str, Any] = {"table-name": table, "part": part, "key": key}
+    row["row-version"] = change.version
+    if change.value is None:
+        return row | {"deleted": True}
+    return row | {"value": b64encode(change.value).decode()}
--- /dev/null
+++ b/src/primrosehub_standins/worker_host.py
@@ -0,0 +1,223 @@
+"""Stand in for a worker host: fences, leases, late orders, ends until acknowledged.
+
+A command is words: ``run 0.3`` ends well after 0.3 s of work, ``fail 0.1`` fails,
+``hang`` makes no progress, ``last`` runs until it is stopped.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from primrosehub.core.clock import steady_s, unix_ms
+from primrosehub_standins.web import Cut, Hang, Start, json_of, reply_json
+
+MAX_LEASE_MS = 10_000
+STOP_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class HostEvent:
+    """Hold what happened to an attempt on a host, for the checker."""
+
+    at: float
+    host: str
+    task: str
+    attempt: int
+    what: str
+
+
+@dataclass(slots=True)
+class _Run:
+    task: str
+    attempt: int
+    command: str
+    started_at: float
+    work_s: float
+    outcome: str
+    saved: str = ""
+
+    def percent(self, now: float) -> int:
+        if self.outcome in ("hang", "last"):
+            return 0 if self.outcome == "hang" else 100
+        return min(99, int(100 * (now - self.started_at) / max(self.work_s, 1e-3)))
+
+
+@dataclass(slots=True)
+class WorkerHostStandin:
+    """Run commands by waiting, as one host in one or more lives."""
+
+    host: str
+    journal: list[HostEvent]
+    silent: bool = False
+    lose_answers: int = 0
+    late_s: float = 0.0
+    late_starts: int = 0
+    fail_all: bool = False
+    hang_all: bool = False
+    draining: bool = False
+    refusals: list[str] = field(default_factory=list)
+    tickets: bool = False
+    _runs: dict[str, _Run] = field(default_factory=dict)
+    _ends: list[list[Any]] = field(default_factory=list)
+    _last_end: int = 0
+    _highest: dict[str, int] = field(default_factory=dict)
+    _fence: int = 0
+    _lease_ms: int = 0
+    _born_at: float = field(default_factory=steady_s)
+    _born_ms: int = field(default_factory=unix_ms)
+    _life: int = 0
+    _ended: Event = field(default_factory=Event)
+
+    @property
+    def clock_ms(self) -> int:
+        """Return the host's steady clock, which starts anew with each life."""
+        return int((steady_s() - self._born_at) * 1000)
+
+    def running(self) -> list[tuple[str, int]]:
+        """Return the tasks that run, with their attempts."""
+        return [(run.task, run.attempt) for run in self._runs.values()]
+
+    def crash(self) -> None:
+        """Lose everything and start again under the same id."""
+        for run in list(self._runs.values()):
+            self._note(run, "lost")
+        self._runs.clear()
+        self._ends.clear()
+        self._highest.clear()
+        self._last_end = self._fence = self._lease_ms = 0
+        self._born_at, self._born_ms = steady_s(), max(unix_ms(), self._born_ms + 1)
+        self._life += 1
+        self._wake()
+
+    def app(self, environ: dict[str, Any], start: Start) -> list[bytes]:
+        """Answer one call."""
+        body = json_of(environ)
+        if self.silent:
+            raise Hang
+        if environ.get("HTTP_PRIMROSEHUB_EXPECTED_INSTANCE") != self.host:
+            return reply_json(start, {}, "421 Misdirected")
+        path = environ["PATH_INFO"].rpartition("/")[2]
+        if path == "run-start" and self.late_starts:
+            self.late_starts -= 1
+            gevent.spawn_later(self.late_s, self._in_life, self._life, body)
+            raise Hang
+        actions: dict[str, Callable[[Any], tuple[str, dict[str, Any]]]] = {
+            "run-start": self._start,
+            "run-stop": self._stop,
+            "hold": self._hold,
+        }
+        status, answer = actions[path](body)
+        if self.lose_answers and path != "hold":
+            self.lose_answers -= 1
+            raise Cut
+        return reply_json(start, answer | {"clock-ms": self.clock_ms}, status)
+
+    def _in_life(self, life: int, body: Any) -> None:
+        if life == self._life:
+            self._start(body)
+
+    def _start(self, body: Any) -> tuple[str, dict[str, Any]]:
+        task, attempt = body["task"], body["attempt"]
+        refusal = self._refusal(body)
+        if refusal:
+            self.refusals.append(refusal)
+            return "409 Conflict", {"reason": refusal}
+        running = self._runs.get(task)
+        if running is not None and running.attempt == attempt:
+            return "200 OK", {}
+        kind, _, seconds = body["spec"].partition(" ")
+        if self.fail_all or self.hang_all:
+            kind = "fail" if self.fail_all else "hang"
+        work_s = float(seconds or 0.05)
+        run = _Run(task, attempt, body["spec"], steady_s(), work_s, kind)
+        self._runs[task] = run
+        self._note(run, "start")
+        self._lengthen(body["deadline-ms"])
+        if kind in ("run", "fail"):
+            how = "done" if kind == "run" else "failed"
+            gevent.spawn_later(work_s, self._end, run, how, self._life)
+        return "200 OK", {}
+
+    def _refusal(self, body: Any) -> str:
+        task, attempt = body["task"], body["attempt"]
+        if body["fencing-token"] < self._fence:
+            return "fence"
+        self._fence = body["fencing-token"]
+        if body["deadline-ms"] < self.clock_ms:
+            return "late"
+        running = self._runs.get(task)
+        if running is not None and running.attempt == attempt:
+            return ""
+        if attempt <= self._highest.get(task, 0) or running is not None:
+            return "old"
+        if self.tickets and not body.get("ticket"):
+            return "ticket"
+        return ""
+
+    def _stop(self, body: Any) -> tuple[str, dict[str, Any]]:
+        if body["fencing-token"] < self._fence:
+            return "409 Conflict", {"reason": "fence"}
+        self._fence = body["fencing-token"]
+        task, attempt = body["task"], body["attempt"]
+        self._highest[task] = max(attempt, self._highest.get(task, 0))
+        run = self._runs.get(task)
+        if run is not None and run.attempt == attempt:
+            gevent.spawn_later(STOP_S, self._end, run, "stopped", self._life)
+        return "200 OK", {}
+
+    def _hold(self, body: Any) -> tuple[str, dict[str, Any]]:
+        if body["fencing-token"] < self._fence:
+            return "409 Conflict", {"reason": "fence"}
+        self._fence = body["fencing-token"]
+        self._lengthen(body.get("deadline-ms", 0))
+        self._ends = [end for end in self._ends if end[0] > body["ack-cursor"]]
+        if not self._ends and body.get("wait-ms"):
+            self._ended.wait(body["wait-ms"] / 1000)
+        now = steady_s()
+        return "200 OK", {
+            "born": self._born_ms,
+            "state": "draining" if self.draining else "ready",
+            "active": [
+                [run.task, run.attempt, run.saved, run.percent(now)]
+                for run in self._runs.values()
+            ],
+            "ended": self._ends[:500],
+        }
+
+    def _lengthen(self, deadline_ms: int) -> None:
+        longest = self.clock_ms + MAX_LEASE_MS
+        self._lease_ms = max(self._lease_ms, min(deadline_ms, longest))
+        gevent.spawn_later(0.05, self._check_lease, self._life)
+
+    def _check_lease(self, life: int) -> None:
+        while life == self._life and self._runs:
+            left_s = (self._lease_ms - self.clock_ms) / 1000
+            if left_s <= 0:
+                for run in list(self._runs.values()):
+                    self._end(run, "lapsed", life)
+                return
+            gevent.sleep(min(left_s + 0.01, 0.5))
+
+    def _end(self, run: _Run, how: str, life: int) -> None:
+        if life != self._life or self._runs.get(run.task) is not run:
+            return
+        del self._runs[run.task]
+        self._highest[run.task] = max(run.attempt, self._highest.get(run.task, 0))
+        self._last_end += 1
+        self._ends.append([self._last_end, run.task, run.attempt, how, run.saved])
+        self._note(run, how)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._ended.set()
+        self._ended = Event()
+
+    def _note(self, run: _Run, what: str) -> None:
+        self.journal.append(
+            HostEvent(steady_s(), self.host, run.task, run.attempt, what)
+        )
