Choose hosts by pace, leave a slow owner, and move work off leaving hosts

Change: a host's pace from its good ends steers quick tasks; a daemon that measures itself slow hands the ownership over; attempts that will not end before a host leaves are stopped for their checkpoint.

--- a/src/primrosehub/binaries/hub.py
+++ b/src/primrosehub/binaries/hub.py
@@ -10,12 +10,12 @@
 import sys
 from pathlib import Path
 
-import defopt
 import gevent
 from pydantic import ValidationError
 
 from primrosehub.border.codec import describe
 from primrosehub.border.hub_settings import HubSettings
+from primrosehub.kernel.clock import steady_s
 from primrosehub.core.logs import log, log_to_stdout
 from primrosehub.kernel import Kernel
 from primrosehub.services import names
@@ -56,11 +56,10 @@
 def leave(kernel: Kernel) -> None:
     """Hand the jobs over, then serve until the balancer has noticed."""
     log("leaving")
-    began = gevent.get_hub().loop.now()
+    began = steady_s()
     kernel.find(cluster.OWNERSHIP).release()
     gevent.sleep(UNTIL_OUT_S)
-    spent = gevent.get_hub().loop.now() - began
-    limit = kernel.settings.bounds.grace_s - KEEP_FOR_EXIT_S - spent
+    limit = kernel.settings.bounds.grace_s - KEEP_FOR_EXIT_S - (steady_s() - began)
     kernel.find(cluster.CALLER_FRONT).drain(QUIET_S, max(0.0, limit))
 
 
@@ -100,6 +99,11 @@
 
 def main() -> None:
     """Run the hub daemon."""
+    if len(sys.argv) == 1:
+        sys.exit(hub())
+    # Its import takes a fifth of the start, which a restarted daemon can not spare.
+    import defopt
+
     sys.exit(defopt.run(hub))
 
 
--- a/src/primrosehub/border/hub_settings.py
+++ b/src/primrosehub/border/hub_settings.py
@@ -27,6 +27,7 @@
     """Hold the platform's bounds that this daemon keeps to."""
 
     grace_s: Seconds = 6
+    host_drain_ms: Millis = 2_000
     max_lease_ms: Millis = 10_000
     gang_timeout_ms: Millis = 3_000
     stop_timeout_ms: Millis = 200
--- a/src/primrosehub/core/peering.py
+++ b/src/primrosehub/core/peering.py
@@ -44,6 +44,7 @@
     config_version: int
     store_reached: bool
     leaving: bool = False
+    slow: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +56,7 @@
     config_version: int
     store_reached: bool
     leaving: bool = False
+    slow: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosehub/policy/packing.py
+++ b/src/primrosehub/policy/packing.py
@@ -7,12 +7,18 @@
 from primrosehub.core.resources import Resources
 
 BACKLOG_SCAN = 400  # demands looked at in one pass, so that a pass stays short
+QUICK_S = 1.5  # tasks estimated below this go where they end soonest
+QUICK_PACE_WEIGHT = 3.0  # of slowness against free room, for quick tasks
+PACE_WEIGHT = 0.3  # for all others, which are packed first of all
 RESERVATIONS = 2  # gangs for which room is kept while they do not fit
 
 
 @dataclass(slots=True)
 class HostSpace:
-    """Hold the free room of one host; ``risk`` above 0 makes it a second choice."""
+    """Hold the free room of one host; ``risk`` above 0 makes it a second choice.
+
+    ``slowness`` is the logarithm of its time over the fleet's mean.
+    """
 
     host: str
     cpu_m: int
@@ -22,6 +28,7 @@
     rack: str
     labels: tuple[str, ...]
     risk: float = 0.0
+    slowness: float = 0.0
     reserved: bool = False
 
     def fits(self, need: Resources) -> bool:
@@ -69,7 +76,7 @@
     allowed: frozenset[str] | None = None
     expired: frozenset[str] = frozenset()
     placed: dict[str, int] = field(default_factory=dict)
-    urgent: bool = False
+    estimate_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,6 +197,7 @@
     failed_on: set[str] | tuple[()],
     placed: dict[str, int],
 ) -> HostSpace | None:
+    weight = QUICK_PACE_WEIGHT if demand.estimate_s < QUICK_S else PACE_WEIGHT
     best, best_score = None, (True, True, 0.0, 0.0)
     for space in candidates:
         if not space.fits(demand.need):
@@ -198,7 +206,8 @@
             continue
         far = bool(demand.data_rack) and space.rack != demand.data_rack
         failed_here = space.host in failed_on
-        score = (failed_here, far, space.risk, space.left_after(demand.need))
+        cost = space.left_after(demand.need) + weight * space.slowness
+        score = (failed_here, far, space.risk, cost)
         if best is None or score < best_score:
             best, best_score = space, score
     return best
--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -9,7 +9,6 @@
 from gevent.event import Event
 from gevent.queue import Queue
 
-from primrosehub.core.clock import steady_s
 from primrosehub.core.fleet import (
     HostReport,
     OrderDone,
@@ -24,7 +23,9 @@
 from primrosehub.core.logs import log
 from primrosehub.core.resources import NOTHING, Resources
 from primrosehub.kernel import TaskGroup
+from primrosehub.kernel.clock import steady_s
 from primrosehub.platform.hosts import HoldRefused, HostClient, HostSilent
+from primrosehub.policy.host_pace import HostPace
 from primrosehub.policy.host_trust import HostTrust
 from primrosehub.services._job_book import TaskPhase, TaskRun
 
@@ -88,6 +89,8 @@
         self.bound: dict[TaskRun, None] = {}
         self.foreign: dict[StopOrder, Resources] = {}
         self.trust = HostTrust()
+        self.pace = HostPace()
+        self.leaves_at: float | None = None
         self.listed = True
         self.unlisted_at = 0.0
         self.enrolled = False
--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -54,6 +54,7 @@
     percent: int = 0
     percent_at: float = 0.0
     first_percent: int = -1
+    resumed: bool = False
     stop_answered_at: float | None = None
     missing: int = 0
 
@@ -178,6 +179,7 @@
         task.unsure = False
         task.stop_answered_at, task.missing = None, 0
         task.percent, task.first_percent = 0, -1
+        task.resumed = bool(task.checkpoint) or phase is TaskPhase.RUNNING
         task.step.job.begun = True
         self._count(task, 1)
 
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -10,7 +10,6 @@
 
 from primrosehub.border.codec import decode
 from primrosehub.core.batch import AcceptedJob, JobProgress
-from primrosehub.core.clock import steady_s, unix_ms
 from primrosehub.core.fleet import EndKind, RunningAttempt, WorkerHost
 from primrosehub.core.logs import log
 from primrosehub.core.resources import NOTHING
@@ -21,8 +20,10 @@
     StoreRefused,
 )
 from primrosehub.kernel import Kernel, TaskGroup
+from primrosehub.kernel.clock import steady_s, unix_ms
 from primrosehub.platform.hosts import decode_host
 from primrosehub.platform.wire import HOSTS_TABLE
+from primrosehub.policy.host_pace import remaining_s
 from primrosehub.policy.urgency import ShareMeter
 from primrosehub.services import _reports
 from primrosehub.services._host_session import CLOCK_RATE, LEASE_S, HostSession
@@ -66,6 +67,7 @@
         self.config = kernel.find(CLUSTER_CONFIG)
         self.advising = kernel.find(ADVISING)
         self.metrics = kernel.find(METRICS)
+        self.drain_s = kernel.settings.bounds.host_drain_ms / 1000
         self.stop_timeout_s = kernel.settings.bounds.stop_timeout_ms / 1000
         self.book = JobBook(epoch)
         self.sessions: dict[str, HostSession] = {}
@@ -197,7 +199,9 @@
     def host_draining(self, session: HostSession) -> None:
         """Send no more starts to a host that is leaving."""
         log("host_draining", host=session.host, running=len(session.bound))
-        session.info = _as_draining(session.info)
+        session.info = replace(session.info, draining=True)
+        if session.leaves_at is None:
+            session.leaves_at = steady_s() + self.drain_s
 
     def host_lost_all(self, session: HostSession, reason: str) -> None:
         """Free all tasks of a host on which they surely no longer run."""
@@ -394,6 +398,8 @@
             gevent.sleep(0.25)
             now = steady_s()
             for session in list(self.sessions.values()):
+                if session.info.draining:
+                    self._evacuate(session, now)
                 gone = not session.listed and not session.answering
                 over = now - self.began_at > UNREACHED_S
                 if gone and over and session.lease_surely_over(now):
@@ -402,6 +408,18 @@
                     self._drop(session)
             self._check_settled()
 
+    def _evacuate(self, session: HostSession, now: float) -> None:
+        """Stop what will not end before a host leaves, so that it goes on elsewhere."""
+        left_s = (session.leaves_at or now) - now
+        for task in list(session.bound):
+            if task.phase is not TaskPhase.RUNNING:
+                continue
+            needs_s = remaining_s(
+                now - task.started_at, task.percent, task.step.spec.estimate_s
+            )
+            if needs_s > left_s:
+                self.stop(task, "host leaves")
+
     def _check_settled(self) -> None:
         if self.settled or not self.loaded.is_set():
             return
@@ -413,7 +431,3 @@
             for stop in stops:
                 self.stop(stop.task, stop.reason)
             self.wake()
-
-
-def _as_draining(info: WorkerHost) -> WorkerHost:
-    return replace(info, draining=True)
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -7,11 +7,12 @@
 import gevent
 from gevent.event import Event
 
-from primrosehub.core.clock import steady_s, unix_ms
 from primrosehub.core.clusterconfig import AdviceCost, ClusterConfig
 from primrosehub.core.fleet import Ticket
 from primrosehub.core.logs import log
 from primrosehub.core.resources import NOTHING, Resources
+from primrosehub.kernel.clock import steady_s, unix_ms
+from primrosehub.policy.host_pace import relative_slowness, slowness
 from primrosehub.policy.packing import Demand, HostSpace, Placement, TeamRoom, plan
 from primrosehub.policy.urgency import Urgency, chain_after, objective_s, urgency
 from primrosehub.services._host_session import HostSession
@@ -92,11 +93,16 @@
         )
 
     def _spaces(self, service: str, now: float) -> list[HostSpace]:
-        return [
-            _space(session)
+        sessions = [
+            session
             for session in self._term.sessions.values()
             if session.info.service == service
-            and session.accepts_starts(now, LISTING_GRACE_S)
+        ]
+        mean = relative_slowness(session.pace for session in sessions)
+        return [
+            _space(session, mean)
+            for session in sessions
+            if session.accepts_starts(now, LISTING_GRACE_S)
         ]
 
     def _plan_service(
@@ -191,7 +197,7 @@
     return step.job.accepted.service
 
 
-def _space(session: HostSession) -> HostSpace:
+def _space(session: HostSession, fleet_mean: float) -> HostSpace:
     free = session.info.room - session.used
     return HostSpace(
         host=session.host,
@@ -202,6 +208,7 @@
         rack=session.info.rack,
         labels=session.info.labels,
         risk=session.trust.risk,
+        slowness=slowness(session.pace, fleet_mean),
     )
 
 
@@ -242,6 +249,7 @@
         allowed=allowed,
         expired=expired,
         placed=placed,
+        estimate_s=step.spec.estimate_s,
     )
 
 
--- a/src/primrosehub/services/_progress_writer.py
+++ b/src/primrosehub/services/_progress_writer.py
@@ -9,9 +9,9 @@
 from gevent.lock import RLock
 
 from primrosehub.border.codec import encode
-from primrosehub.core.clock import steady_s
 from primrosehub.core.logs import log
 from primrosehub.core.rows import PutRow, RowKey, RowsTransaction, StoreRefused
+from primrosehub.kernel.clock import steady_s
 from primrosehub.services.names.cluster import OwnershipLost
 
 if TYPE_CHECKING:
--- a/src/primrosehub/services/_reports.py
+++ b/src/primrosehub/services/_reports.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from primrosehub.core.clock import steady_s
 from primrosehub.core.fleet import (
     EndedAttempt,
     EndKind,
@@ -14,6 +13,7 @@
 )
 from primrosehub.core.logs import log
 from primrosehub.core.resources import NOTHING
+from primrosehub.kernel.clock import steady_s
 from primrosehub.policy.host_trust import is_stuck
 from primrosehub.services._host_session import HostSession
 from primrosehub.services._job_book import (
@@ -48,6 +48,8 @@
     for task in list(session.bound):
         if (task.id, task.attempt) not in listed:
             _note_absent(term, session, task, sent)
+    if report.remaining_ms is not None:
+        session.leaves_at = steady_s() + report.remaining_ms / 1000
     if report.draining and not session.info.draining:
         term.host_draining(session)
     if session.noted_end > session.durable_end:
@@ -101,6 +103,9 @@
     match kind:
         case EndKind.DONE:
             session.trust.note_success()
+            if not task.resumed:
+                took_s = steady_s() - task.started_at
+                session.pace.note_done(took_s, task.step.spec.estimate_s)
         case EndKind.FAILED:
             for host in task.failed_on:
                 if host in term.sessions:
--- a/src/primrosehub/services/advising.py
+++ b/src/primrosehub/services/advising.py
@@ -7,11 +7,11 @@
 
 from contextlib import ExitStack
 
-from primrosehub.core.clock import steady_s
 from primrosehub.core.fleet import Advice
 from primrosehub.core.logs import log
 from primrosehub.core.peering import AdviceIs, AskAdvice, NoAdvice
 from primrosehub.kernel import Kernel
+from primrosehub.kernel.clock import steady_s
 from primrosehub.platform.advice import AdviceClient, AdviceUnavailable
 from primrosehub.services.names import METRICS
 from primrosehub.services.names.cluster import PEERING, PeerSilent
--- a/src/primrosehub/services/caller_front.py
+++ b/src/primrosehub/services/caller_front.py
@@ -10,10 +10,10 @@
 from gevent.pywsgi import WSGIServer
 
 from primrosehub.border.http_server import PromptHandler
-from primrosehub.core.clock import steady_s
 from primrosehub.core.errors import ErrorKind, HubError
 from primrosehub.core.logs import log
 from primrosehub.kernel import Kernel
+from primrosehub.kernel.clock import steady_s
 from primrosehub.platform import callers
 from primrosehub.services.names import METRICS
 from primrosehub.services.names.cluster import CLUSTER_CONFIG, INTAKE
--- a/src/primrosehub/services/cluster_config.py
+++ b/src/primrosehub/services/cluster_config.py
@@ -6,12 +6,12 @@
 
 import gevent
 
-from primrosehub.core.clock import steady_s
 from primrosehub.core.clusterconfig import ClusterConfig
 from primrosehub.core.logs import log
 from primrosehub.core.peering import AskConfig, ConfigIs
 from primrosehub.core.rows import HistoryLost, RowKey, StoreRefused
 from primrosehub.kernel import Kernel
+from primrosehub.kernel.clock import steady_s
 from primrosehub.platform.operator import decode_config
 from primrosehub.platform.wire import CONFIG_KEY, OPERATOR_TABLE
 from primrosehub.services.names import METRICS
--- a/src/primrosehub/services/intake.py
+++ b/src/primrosehub/services/intake.py
@@ -15,7 +15,6 @@
     JobProgress,
     JobState,
 )
-from primrosehub.core.clock import steady_s, unix_ms
 from primrosehub.core.clusterconfig import Queue
 from primrosehub.core.errors import ErrorKind, HubError
 from primrosehub.core.logs import log
@@ -40,6 +39,7 @@
     TransactionConflicted,
 )
 from primrosehub.kernel import Kernel
+from primrosehub.kernel.clock import steady_s, unix_ms
 from primrosehub.services._job_rows import cancel_key, job_key
 from primrosehub.services.names import METRICS
 from primrosehub.services.names.cluster import (
--- a/src/primrosehub/services/names/cluster.py
+++ b/src/primrosehub/services/names/cluster.py
@@ -93,6 +93,10 @@
     def leading(self) -> bool:
         """Tell whether this daemon owns them."""
 
+    @property
+    def slow(self) -> bool:
+        """Tell whether this daemon's processor is too slow to own the jobs."""
+
     @property
     def confirmed_by_store_at(self) -> float:
         """Return when the last store call that confirmed this ownership was sent."""
--- a/src/primrosehub/services/ownership.py
+++ b/src/primrosehub/services/ownership.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import time
 from contextlib import ExitStack
 from dataclasses import dataclass, replace
 
@@ -14,7 +15,6 @@
 from gevent.lock import RLock
 
 from primrosehub.border.codec import decode, encode
-from primrosehub.core.clock import steady_s
 from primrosehub.core.logs import log
 from primrosehub.core.peering import OwnerSeen, Pong
 from primrosehub.core.rows import (
@@ -30,6 +30,8 @@
     TransactionConflicted,
 )
 from primrosehub.kernel import Kernel
+from primrosehub.kernel.clock import steady_s
+from primrosehub.policy.own_pace import OwnPace
 from primrosehub.services.names import METRICS
 from primrosehub.services.names.cluster import (
     PEERING,
@@ -45,6 +47,10 @@
 TRUST_S = 2.0  # orders go out only within this time of a confirmation
 CONFIRM_S = 0.7
 RETRY_S = 0.1
+PACE_CHECK_S = 0.3
+PACE_ROUNDS = 2000  # of a trivial loop, some tens of microseconds
+PACE_REPEATS = 3  # the fastest counts, so that an interruption does not
+YIELD_PAUSE_S = 5.0  # after a hand-over for slowness, before the next
 OWNER_KEY = RowKey("owner", "s", "cell")
 
 
@@ -71,6 +77,8 @@
         self._silent_since = steady_s()
         self._lock = RLock()
         self._released = False
+        self._pace = OwnPace()
+        self._yielded_at = float("-inf")
         self._look = Event()
 
     @property
@@ -79,6 +87,8 @@
         now = steady_s()
         heard = 0.0 if self._leading else now - self._owner_heard_at
         row = self._row
+        if row.incarnation == self._peering.me.incarnation and not self._leading:
+            row = replace(row, incarnation="")
         return OwnerSeen(row.epoch, row.incarnation, row.name, min(heard, 1e9))
 
     @property
@@ -86,6 +96,11 @@
         """Tell whether this daemon owns the jobs."""
         return self._leading
 
+    @property
+    def slow(self) -> bool:
+        """Tell whether this daemon's processor is too slow to own the jobs."""
+        return self._pace.slow
+
     @property
     def confirmed_by_store_at(self) -> float:
         """Return when the last store call that confirmed the ownership was sent."""
@@ -108,7 +123,9 @@
         self._peering = self._kernel.find(PEERING)
         self._scheduler = self._kernel.find(SCHEDULER)
         self._metrics = self._kernel.find(METRICS)
-        self._kernel.tasks(stack).spawn("ownership", self._watch)
+        tasks = self._kernel.tasks(stack)
+        tasks.spawn("ownership", self._watch)
+        tasks.spawn("own-pace", self._watch_pace)
 
     def commit(self, transaction: RowsTransaction) -> None:
         """Apply an owner's transaction once; raise OwnershipLost or StoreRefused."""
@@ -140,8 +157,10 @@
     def release(self) -> None:
         """Give the ownership up, so that a peer takes over at once."""
         self._released = True
-        if not self._leading:
-            return
+        if self._leading:
+            self._hand_over()
+
+    def _hand_over(self) -> None:
         try:
             self._scheduler.flush()
             with self._lock:
@@ -151,9 +170,32 @@
             log("ownership_released", epoch=row.epoch)
         except (StoreRefused, OwnershipLost) as error:
             log("ownership_not_released", reason=str(error))
+            self._scheduler.stop_leading()
         self._leading = False
+        self._metrics.gauge("leading", 0)
+        self._silent_since = steady_s()
         self._peering.ping_now()
 
+    def _watch_pace(self) -> None:
+        while True:
+            gevent.sleep(PACE_CHECK_S)
+            was_slow = self._pace.slow
+            self._pace.note(min(_time_fixed_work() for _ in range(PACE_REPEATS)))
+            if self._pace.slow != was_slow:
+                log("own_pace", slow=self._pace.slow, leading=self._leading)
+            if self._pace.slow and self._leading and self._may_yield():
+                self._yielded_at = steady_s()
+                self._hand_over()
+
+    def _may_yield(self) -> bool:
+        """Tell whether a peer that is not slow could take over."""
+        if steady_s() - self._yielded_at < YIELD_PAUSE_S:
+            return False
+        return any(
+            pong.store_reached and not pong.leaving and not pong.slow
+            for pong in self._peering.heard(SILENCE_S)
+        )
+
     def _commit_row(self, row: OwnerRow, transaction: RowsTransaction) -> None:
         whole = RowsTransaction(
             (ExpectRow(OWNER_KEY, self._version), *transaction.expects),
@@ -272,10 +314,13 @@
     def _rank(self, pongs: tuple[Pong, ...] | list[Pong]) -> int:
         me = self._peering.me
         others = [
-            pong.sender for pong in pongs if pong.store_reached and not pong.leaving
+            pong.sender
+            for pong in pongs
+            if pong.store_reached and not pong.leaving and not pong.slow
         ]
         ranked = sorted([me, *others], key=lambda card: (-card.power, card.name))
-        blocked = 0 if self._store.reached_directly else len(others)
+        able = self._store.reached_directly and not self._pace.slow
+        blocked = 0 if able else len(others)
         return ranked.index(me) + blocked
 
     def _reread(self) -> None:
@@ -324,3 +369,11 @@
 
 def _decode(stored: StoredRow | None) -> OwnerRow:
     return decode(OwnerRow, stored.value) if stored else OwnerRow(0, "", "")
+
+
+def _time_fixed_work() -> float:
+    began = time.perf_counter()
+    total = 0
+    for number in range(PACE_ROUNDS):
+        total += number
+    return time.perf_counter() - began
--- a/src/primrosehub/services/peering.py
+++ b/src/primrosehub/services/peering.py
@@ -13,7 +13,6 @@
 from primrosehub.border.codec import decode, encode
 from primrosehub.border.frames import CallFailed, FrameClient, FrameServer
 from primrosehub.border.peer_codec import decode_message, encode_message
-from primrosehub.core.clock import steady_s
 from primrosehub.core.logs import log
 from primrosehub.core.peering import (
     AskMembers,
@@ -31,6 +30,7 @@
     StoreUnknown,
 )
 from primrosehub.kernel import Kernel, TaskGroup
+from primrosehub.kernel.clock import steady_s
 from primrosehub.services.names.cluster import (
     CLUSTER_CONFIG,
     OWNERSHIP,
@@ -185,6 +185,7 @@
             "config_version": self._config.current.version,
             "store_reached": self._store.reached_directly,
             "leaving": self._kernel.stopping.is_set(),
+            "slow": self._ownership.slow,
         }
 
     def _pong(self, ping: Ping) -> Pong:
@@ -195,6 +196,7 @@
                 ping.config_version,
                 ping.store_reached,
                 ping.leaving,
+                ping.slow,
             )
         )
         return Pong(**self._beliefs())  # type: ignore[arg-type]
--- a/src/primrosehub/services/scheduler.py
+++ b/src/primrosehub/services/scheduler.py
@@ -6,7 +6,6 @@
 from contextlib import ExitStack
 
 from primrosehub.core.batch import AcceptedJob, JobState
-from primrosehub.core.clock import steady_s
 from primrosehub.core.logs import log
 from primrosehub.core.peering import (
     AskState,
@@ -19,6 +18,7 @@
     WaitingIs,
 )
 from primrosehub.kernel import Kernel, TaskGroup, log_task_error
+from primrosehub.kernel.clock import steady_s
 from primrosehub.services._owner_term import OwnerTerm
 from primrosehub.services.names.cluster import PEERING
 
--- a/src/primrosehub/services/store.py
+++ b/src/primrosehub/services/store.py
@@ -9,7 +9,6 @@
 from gevent.event import Event
 
 from primrosehub.border.http_client import HttpEndpoint, NoAnswer, NotSent
-from primrosehub.core.clock import steady_s
 from primrosehub.core.logs import log
 from primrosehub.core.peering import RelayCall, RelayFailed, RelayReply
 from primrosehub.core.rows import (
@@ -22,6 +21,7 @@
     StoreUnknown,
 )
 from primrosehub.kernel import Kernel
+from primrosehub.kernel.clock import steady_s
 from primrosehub.platform.store import RowStore, StoreCall, StoreReply
 from primrosehub.services.names import METRICS
 from primrosehub.services.names.cluster import PEERING, PeerSilent
--- a/src/primrosehub_standins/hub_cell.py
+++ b/src/primrosehub_standins/hub_cell.py
@@ -18,8 +18,8 @@
 from primrosehub.binaries.hub import MANIFEST, leave
 from primrosehub.border.http_client import HttpEndpoint, Response
 from primrosehub.border.hub_settings import HubSettings
-from primrosehub.core.clock import steady_s
 from primrosehub.kernel import Kernel
+from primrosehub.kernel.clock import steady_s
 from primrosehub.services.names import cluster
 from primrosehub_standins.row_store import Door, RowStoreStandin
 from primrosehub_standins.web import Start, json_of, reply_json, serve
--- a/src/primrosehub_standins/row_store.py
+++ b/src/primrosehub_standins/row_store.py
@@ -16,7 +16,7 @@
 import orjson
 from gevent.event import Event
 
-from primrosehub.core.clock import steady_s
+from primrosehub.kernel.clock import steady_s
 from primrosehub_standins.web import Cut, Hang, Start, body_of, json_of, reply_json
 
 Key = tuple[str, str, str]
--- a/src/primrosehub_standins/worker_host.py
+++ b/src/primrosehub_standins/worker_host.py
@@ -13,7 +13,7 @@
 import gevent
 from gevent.event import Event
 
-from primrosehub.core.clock import steady_s, unix_ms
+from primrosehub.kernel.clock import steady_s, unix_ms
 from primrosehub_standins.web import Cut, Hang, Start, json_of, reply_json
 
 MAX_LEASE_MS = 10_000
--- /dev/null
+++ b/testing/builders/cluster.py
@@ -0,0 +1,65 @@
+"""Build jobs, steps, hosts and reports for tests of the hub's services."""
+
+from primrosehub.core.batch import AcceptedJob, BatchSpec, StepSpec, TaskId
+from primrosehub.core.clusterconfig import Queue
+from primrosehub.core.fleet import EndedAttempt, EndKind, HostReport, RunningAttempt
+from primrosehub.core.resources import Resources
+from primrosehub.policy.packing import Demand, HostSpace
+
+JOB = "5c0e7a21d94b36f8"
+
+
+def a_step(tasks=1, cpu_m=1000, **fields):
+    fields.setdefault("estimate_s", 1.0)
+    return StepSpec(tasks=tasks, need=Resources(cpu_m, 256), **fields)
+
+
+def an_accepted_job(*steps, job=JOB, team="blue", **fields):
+    spec = BatchSpec("run 1", steps or (a_step(),), **fields)
+    return AcceptedJob(job, team, "quotes", "workshop", 0, spec)
+
+
+def a_queue(max_attempts=3, **fields):
+    values = {
+        "name": "quotes",
+        "host": "jobs.example",
+        "prefix": "/quotes/",
+        "service": "workshop",
+        "team_required": True,
+        "priority": 0,
+        "max_attempts": max_attempts,
+        "slack_factor": 2.0,
+        "target_s": 0.5,
+        "timeout_s": 3.0,
+    }
+    return Queue(**(values | fields))
+
+
+def a_task_id(index=0, step=0, job=JOB):
+    return TaskId(job, 0, step, index)
+
+
+def an_end(number=1, index=0, attempt=1, kind=EndKind.DONE, step=0):
+    return EndedAttempt(number, a_task_id(index, step), attempt, kind, "")
+
+
+def a_run(index=0, attempt=1, percent=10, step=0):
+    return RunningAttempt(a_task_id(index, step), attempt, "", percent)
+
+
+def a_report(*entries, clock_ms=1000, born_ms=7):
+    runs = tuple(entry for entry in entries if isinstance(entry, RunningAttempt))
+    ends = tuple(entry for entry in entries if isinstance(entry, EndedAttempt))
+    return HostReport(clock_ms, born_ms, runs, ends)
+
+
+def a_space(host="h1", cpu_m=8000, **fields):
+    total = Resources(cpu_m, 16384)
+    values = {"rack": "r1", "labels": ("a", "r1")} | fields
+    return HostSpace(host, cpu_m, 16384, 0, total, **values)
+
+
+def a_demand(tasks=1, cpu_m=1000, **fields):
+    values = {"key": "step", "team": "blue", "gang": False} | fields
+    need = Resources(cpu_m, 256)
+    return Demand(need=need, tasks=list(range(tasks)), **values)
--- /dev/null
+++ b/testing/policy/test_host_beliefs.py
@@ -0,0 +1,88 @@
+from testing.builders.cluster import a_step
+
+from primrosehub.policy.host_pace import (
+    HostPace,
+    relative_slowness,
+    remaining_s,
+    slowness,
+)
+from primrosehub.policy.host_trust import SUSPEND_S, HostTrust, is_stuck
+from primrosehub.policy.own_pace import OwnPace
+from primrosehub.policy.urgency import ShareMeter, chain_after, urgency
+
+
+def test_two_failures_in_a_row_suspend_a_host_for_a_while():
+    trust = HostTrust()
+    assert not trust.note_failure(0.0)
+    assert trust.note_failure(1.0)
+    assert not trust.usable(1.5)
+    assert trust.usable(1.0 + SUSPEND_S)
+
+
+def test_one_more_failure_after_a_suspension_suspends_again():
+    trust = HostTrust()
+    trust.note_failure(0.0)
+    trust.note_failure(0.0)
+    assert trust.note_failure(4.0)
+
+
+def test_good_ends_between_failures_keep_a_host_in_use():
+    trust = HostTrust()
+    for _ in range(20):
+        assert not trust.note_failure(0.0)
+        trust.note_success()
+        trust.note_success()
+
+
+def test_a_task_is_stuck_after_it_has_stood_still_for_a_while():
+    assert not is_stuck(10.0, 9.0, 40)
+    assert is_stuck(10.0, 7.0, 40)
+    assert not is_stuck(10.0, 7.0, 100)
+
+
+def test_a_hosts_pace_is_told_from_the_fleets():
+    fast, slow = HostPace(), HostPace()
+    for _ in range(20):
+        fast.note_done(1.0, 1.0)
+        slow.note_done(2.0, 1.0)
+    mean = relative_slowness([fast, slow])
+    assert slowness(fast, mean) < 0 < slowness(slow, mean)
+    assert slowness(HostPace(), mean) == 0.0
+
+
+def test_the_remaining_time_follows_progress_and_else_the_estimate():
+    assert remaining_s(3.0, 75, 100.0) == 1.0
+    assert remaining_s(3.0, 0, 5.0) == 2.0
+
+
+def test_a_daemon_is_slow_after_several_slow_samples():
+    pace = OwnPace()
+    for _ in range(10):
+        pace.note(0.001)
+    pace.note(0.009)
+    assert not pace.slow
+    pace.note(0.009)
+    pace.note(0.009)
+    assert pace.slow
+    pace.note(0.001)
+    assert not pace.slow
+
+
+def test_a_chain_counts_the_steps_that_wait_for_a_step():
+    steps = (a_step(estimate_s=1.0), a_step(estimate_s=2.0, after=(0,)), a_step())
+    assert chain_after(steps) == [3.0, 2.0, 1.0]
+
+
+def test_jobs_in_time_go_before_late_ones_and_least_slack_first():
+    soon = urgency(0.0, 0.0, 5.0, 4.0, False)
+    later = urgency(0.0, 0.0, 9.0, 4.0, False)
+    late = urgency(9.0, 0.0, 5.0, 4.0, False)
+    beyond = urgency(0.0, 0.0, 5.0, 4.0, True)
+    assert sorted([beyond, late, later, soon]) == [soon, later, late, beyond]
+
+
+def test_jobs_above_a_teams_weight_are_beyond_its_share():
+    meter = ShareMeter()
+    marks = [meter.note_job(0.0, 2.0) for _ in range(5)]
+    assert marks == [False, False, False, False, True]
+    assert not meter.note_job(1.0, 2.0)
--- /dev/null
+++ b/testing/protocol/test_job_book.py
@@ -0,0 +1,141 @@
+from primrosehub.border.codec import decode, encode
+from primrosehub.core.batch import JobProgress, JobState
+from primrosehub.core.fleet import EndKind
+from primrosehub.services._job_book import JobBook, TaskPhase, apply_end
+from testing.builders.cluster import JOB, a_queue, a_step, a_task_id, an_accepted_job
+
+
+def a_book(*steps, epoch=1, progress=None, taken_over=False, queue=None):
+    book = JobBook(epoch)
+    accepted = an_accepted_job(*steps)
+    book.add(accepted, queue or a_queue(), progress, 0.0, taken_over)
+    return book
+
+
+def run(book, index=0, step=0, host="h1"):
+    task = book.task(a_task_id(index, step))
+    book.bind(task, host, book.next_attempt([task]), TaskPhase.RUNNING)
+    return task
+
+
+def end(book, task, kind):
+    return apply_end(book, task, kind, task.host, "")
+
+
+def stored_and_loaded(book, **fields):
+    progress = decode(JobProgress, encode(book.progress_of(book.jobs[JOB])))
+    steps = book.jobs[JOB].accepted.spec.steps
+    return a_book(*steps, progress=progress, taken_over=True, **fields)
+
+
+def test_a_step_opens_when_all_before_it_are_done():
+    book = a_book(a_step(2), a_step(after=(0,)))
+    assert set(book.open_steps) == {(JOB, 0, 0)}
+    end(book, run(book, 0), EndKind.DONE)
+    assert set(book.open_steps) == {(JOB, 0, 0)}
+    end(book, run(book, 1), EndKind.DONE)
+    assert set(book.open_steps) == {(JOB, 0, 1)}
+
+
+def test_a_job_fails_after_its_allowed_attempts_and_stops_the_rest():
+    book = a_book(a_step(2), queue=a_queue(max_attempts=2))
+    other = run(book, 1)
+    end(book, run(book), EndKind.FAILED)
+    stops = end(book, run(book), EndKind.FAILED)
+    assert [stop.task for stop in stops] == [other]
+    assert book.jobs[JOB].state is JobState.FAILED
+    assert not book.open_steps
+
+
+def test_a_failure_listed_again_after_a_take_over_counts_once():
+    book = a_book(queue=a_queue(max_attempts=2))
+    task = run(book)
+    attempt = task.attempt
+    end(book, task, EndKind.FAILED)
+    heir = stored_and_loaded(book, epoch=2, queue=a_queue(max_attempts=2))
+    assert heir.end_failed(heir.task(a_task_id()), attempt, "h1") == []
+    assert heir.jobs[JOB].state is not JobState.FAILED
+
+
+def test_an_end_other_than_failed_costs_no_attempt():
+    book = a_book(queue=a_queue(max_attempts=1))
+    for kind in (EndKind.STOPPED, EndKind.LAPSED, EndKind.BROKEN, EndKind.ALONE):
+        end(book, run(book), kind)
+    assert book.jobs[JOB].state is JobState.QUEUED
+    assert book.task(a_task_id()).phase is TaskPhase.WAITING
+
+
+def test_attempts_of_a_new_epoch_are_above_all_of_the_one_before():
+    book = a_book()
+    first = run(book).attempt
+    heir = stored_and_loaded(book, epoch=2)
+    assert heir.next_attempt([heir.task(a_task_id())]) > first + 900
+
+
+def test_after_a_take_over_no_task_waits_until_the_hosts_are_asked():
+    heir = a_book(a_step(3), epoch=2, taken_over=True)
+    (step,) = heir.open_steps.values()
+    assert step.waiting == []
+    heir.settle()
+    assert len(step.waiting) == 3
+
+
+def test_done_tasks_stay_done_through_a_take_over():
+    book = a_book(a_step(2), a_step(after=(0,)))
+    end(book, run(book, 0), EndKind.DONE)
+    heir = stored_and_loaded(book, epoch=2)
+    assert heir.task(a_task_id(0)).phase is TaskPhase.DONE
+    assert heir.task(a_task_id(1)).phase is TaskPhase.WAITING
+
+
+def test_one_good_end_of_a_gang_stands_for_all():
+    book = a_book(a_step(3, gang=True))
+    tasks = [run(book, index) for index in range(3)]
+    end(book, tasks[0], EndKind.DONE)
+    assert book.jobs[JOB].state is JobState.COMPLETED
+
+
+def test_a_gang_that_lost_a_member_is_stopped_whole():
+    book = a_book(a_step(3, gang=True))
+    tasks = [run(book, index) for index in range(3)]
+    stops = end(book, tasks[0], EndKind.LAPSED)
+    assert [stop.task for stop in stops] == tasks[1:]
+
+
+def test_several_failed_ends_of_one_gang_attempt_count_once():
+    book = a_book(a_step(2, gang=True), queue=a_queue(max_attempts=2))
+    tasks = [run(book, index) for index in range(2)]
+    end(book, tasks[0], EndKind.FAILED)
+    end(book, tasks[1], EndKind.FAILED)
+    assert book.jobs[JOB].state is not JobState.FAILED
+
+
+def test_room_of_a_team_is_counted_until_its_tasks_have_ended():
+    book = a_book(a_step(2))
+    tasks = [run(book, index) for index in range(2)]
+    assert book.used_by_team["blue"].cpu_m == 2000
+    end(book, tasks[0], EndKind.DONE)
+    assert book.used_by_team["blue"].cpu_m == 1000
+
+
+def test_a_cancelled_job_names_what_is_to_be_stopped_and_starts_nothing():
+    book = a_book(a_step(2))
+    task = run(book)
+    assert [stop.task for stop in book.cancel(JOB)] == [task]
+    assert not book.open_steps
+    assert book.cancel(JOB) == []
+
+
+def test_a_checkpoint_is_kept_for_the_next_attempt_and_stored():
+    book = a_book(a_step(checkpoints=True))
+    task = run(book)
+    apply_end(book, task, EndKind.STOPPED, "h1", "saved-1")
+    heir = stored_and_loaded(book, epoch=2)
+    assert heir.task(a_task_id()).checkpoint == "saved-1"
+
+
+def test_each_occurrence_of_a_job_has_tasks_of_its_own():
+    book = JobBook(1)
+    accepted = an_accepted_job(occurrences=3, first_due_ms=1000, interval_ms=500)
+    book.add(accepted, a_queue(), None, 0.0, False)
+    assert [step.due_ms for step in book.open_steps.values()] == [1000, 1500, 2000]
