Ask advice about as many hosts as a step needs; refuse sooner

Cause: on the grown fleet 40 named hosts hold too little room for a wide gang once advice has allowed a third of them (8 of 71 jobs of the class unserved); a submission that the store can not take was held for 60% of the caller's wait.

Change: policy/advice_choice.py; a refusal after 0.4 s, an unknown outcome after 40%.

--- /dev/null
+++ b/src/primrosehub/policy/advice_choice.py
@@ -0,0 +1,59 @@
+"""Which worker hosts to ask advice about; no I/O and no clock."""
+
+from __future__ import annotations
+
+from primrosehub.core.resources import Resources
+from primrosehub.policy.packing import HostSpace
+
+ALLOWED_SHARE = 0.35  # the least share of named hosts that the sites' advice allows
+MARGIN = 1.3  # so that one call mostly names enough
+MIN_NAMED = 6
+MAX_NAMED = 100  # the advice service's own bound on one call
+
+
+def hosts_to_name(
+    need: Resources,
+    count: int,
+    label: str,
+    quick: bool,
+    spaces: list[HostSpace],
+    asked: set[str],
+    free_only: bool,
+) -> list[str]:
+    """Return hosts that probably hold room for ``count`` tasks once advised.
+
+    Hosts with free room come first, for a quick task the fastest of them. A call
+    takes longer with each host named, so no more are named than needed.
+    """
+    fitting = [
+        space
+        for space in spaces
+        if space.host not in asked
+        and need.fits_in(space.total)
+        and (not label or label in space.labels)
+    ]
+    free = [space for space in fitting if space.fits(need)]
+    free.sort(key=lambda space: (space.risk, space.slowness if quick else 0.0))
+    full = [] if free_only else [space for space in fitting if not space.fits(need)]
+    full.sort(key=lambda space: -space.cpu_m)
+    wanted = count * MARGIN / ALLOWED_SHARE
+    named: list[str] = []
+    for space in [*free, *full]:
+        enough = wanted <= 0 and len(named) >= MIN_NAMED
+        if enough or len(named) >= MAX_NAMED:
+            break
+        named.append(space.host)
+        room = _free_room(space) if space.fits(need) else space.total
+        wanted -= room.times_contained(need)
+    return named
+
+
+def room_for(need: Resources, hosts: frozenset[str], spaces: list[HostSpace]) -> int:
+    """Return how many tasks the hosts could hold if nothing else ran there."""
+    return sum(
+        space.total.times_contained(need) for space in spaces if space.host in hosts
+    )
+
+
+def _free_room(space: HostSpace) -> Resources:
+    return Resources(space.cpu_m, space.memory_mb, space.accelerators)
--- a/src/primrosehub/policy/packing.py
+++ b/src/primrosehub/policy/packing.py
@@ -90,10 +90,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """Hold the placements, and the demands that only lack valid tickets."""
+    """Hold the placements, and which demands were not placed whole.
+
+    Those in ``lacking_tickets`` would fit on hosts whose tickets have expired.
+    """
 
     placements: tuple[Placement, ...]
-    lacking_tickets: tuple[object, ...]
+    lacking_tickets: tuple[object, ...] = ()
+    unplaced: tuple[object, ...] = ()
 
 
 class TeamRoom:
@@ -132,6 +136,7 @@
     by_host = {space.host: space for space in spaces}
     placements: list[Placement] = []
     lacking: list[object] = []
+    unplaced: list[object] = []
     reservations = 0
     for demand in demands[:BACKLOG_SCAN]:
         count = min(len(demand.tasks), teams.times(demand.team, demand.need))
@@ -144,11 +149,12 @@
         teams.take(demand.team, demand.need, len(chosen))
         if len(chosen) == count:
             continue
+        unplaced.append(demand.key)
         if demand.expired and _would_fit(demand, by_host):
             lacking.append(demand.key)
         if demand.gang and reservations < RESERVATIONS:
             reservations += _reserve(demand, by_host)
-    return Plan(tuple(placements), tuple(lacking))
+    return Plan(tuple(placements), tuple(lacking), tuple(unplaced))
 
 
 def _candidates(
--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -73,6 +73,7 @@
     remaining: int = 0
     tickets: dict[str, Ticket] = field(default_factory=dict)
     allowed: frozenset[str] | None = None
+    asked: set[str] = field(default_factory=set)
     advising: bool = False
     advised_at: float = float("-inf")
 
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -12,8 +12,16 @@
 from primrosehub.core.logs import log
 from primrosehub.core.resources import NOTHING, Resources
 from primrosehub.kernel.clock import steady_s, unix_ms
+from primrosehub.policy.advice_choice import hosts_to_name, room_for
 from primrosehub.policy.host_pace import relative_slowness, slowness
-from primrosehub.policy.packing import Demand, HostSpace, Placement, TeamRoom, plan
+from primrosehub.policy.packing import (
+    QUICK_S,
+    Demand,
+    HostSpace,
+    Placement,
+    TeamRoom,
+    plan,
+)
 from primrosehub.policy.urgency import Urgency, chain_after, objective_s, urgency
 from primrosehub.services._host_session import HostSession
 from primrosehub.services._job_book import StepRun, TaskPhase
@@ -24,7 +32,6 @@
 GATHER_S = 0.004  # changes within this time share a plan
 IDLE_S = 0.25  # plan at least so often: due times and suspensions pass unnoticed
 TICKET_MARGIN_S = 0.3  # a ticket must outlive the order's way to the host
-ADVISE_HOSTS = 40  # named in one call: a call takes longer with each
 READVISE_S = 0.3  # between calls for one step
 LISTING_GRACE_S = 2.5
 _DEFAULT_TARGET_S = 1.0
@@ -115,16 +122,20 @@
     ) -> None:
         demands = []
         for step in steps:
-            advice = step.job.queue.advice if step.job.queue else None
-            if advice is not None and step.allowed is None:
-                self._ask_advice(step, advice, spaces, now)
-                continue
-            demands.append(_demand(step, advice is not None, now))
+            advised = bool(step.job.queue and step.job.queue.advice)
+            if advised and step.allowed is None:
+                self._ask_about(step, spaces, now, free_only=False)
+            else:
+                demands.append(_demand(step, advised, now))
         result = plan(demands, spaces, teams)
         self._send(result.placements)
         for step in result.lacking_tickets:
+            self._ask_advice(step, sorted(step.allowed or ()), now)
+        for step in result.unplaced:
             if step.job.queue and step.job.queue.advice:
-                self._ask_advice(step, step.job.queue.advice, spaces, now)
+                known = step.allowed or frozenset()
+                short = room_for(step.spec.need, known, spaces) < len(step.waiting)
+                self._ask_about(step, spaces, now, free_only=not short)
 
     def _send(self, placements: tuple[Placement, ...]) -> None:
         term = self._term
@@ -143,19 +154,33 @@
             session.bound[task] = None
             session.start(task)
 
-    def _ask_advice(
-        self, step: StepRun, cost: AdviceCost, spaces: list[HostSpace], now: float
+    def _ask_about(
+        self, step: StepRun, spaces: list[HostSpace], now: float, free_only: bool
     ) -> None:
+        """Ask about hosts that the step has not been asked about yet."""
+        spec = step.spec
+        quick = spec.estimate_s < QUICK_S
+        hosts = hosts_to_name(
+            spec.need,
+            len(step.waiting),
+            spec.label,
+            quick,
+            spaces,
+            step.asked,
+            free_only,
+        )
+        if self._ask_advice(step, hosts, now):
+            step.asked.update(hosts)
+
+    def _ask_advice(self, step: StepRun, hosts: list[str], now: float) -> bool:
+        cost = step.job.queue.advice if step.job.queue else None
+        if not hosts or cost is None:
+            return False
         if step.advising or now - step.advised_at < READVISE_S:
-            return
-        if step.allowed is None:
-            hosts = _best_to_name(step, spaces)
-        else:
-            hosts = sorted(step.allowed)
-        if not hosts:
-            return
+            return False
         step.advising, step.advised_at = True, now
         self._term.tasks.spawn("advice", self._advise, step, cost, hosts)
+        return True
 
     def _advise(self, step: StepRun, cost: AdviceCost, hosts: list[str]) -> None:
         began = steady_s()
@@ -171,6 +196,7 @@
             step.advising = False
         step.advised_at = steady_s()
         if advice is None:
+            step.asked.difference_update(hosts)
             return
         until = step.advised_at + (advice.valid_s or cost.valid_s)
         for host, value in advice.tickets.items():
@@ -251,15 +277,3 @@
         placed=placed,
         estimate_s=step.spec.estimate_s,
     )
-
-
-def _best_to_name(step: StepRun, spaces: list[HostSpace]) -> list[str]:
-    """Return the hosts worth asking about, those with most free room first."""
-    fitting = [
-        space
-        for space in spaces
-        if step.spec.need.fits_in(space.total)
-        and (not step.spec.label or step.spec.label in space.labels)
-    ]
-    fitting.sort(key=lambda space: -space.cpu_m)
-    return [space.host for space in fitting[:ADVISE_HOSTS]]
--- a/src/primrosehub/services/intake.py
+++ b/src/primrosehub/services/intake.py
@@ -52,7 +52,9 @@
 )
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
-SHARE_OF_WAIT = 0.6  # of the caller's wait, before an unknown outcome is told
+UNKNOWN_SHARE = 0.4  # of the caller's wait, before an unknown outcome is told
+# A quarter of the shortest objective on the users' sheets: callers retry at once.
+REFUSE_AFTER_S = 0.4
 RETRY_S = 0.15
 ASK_OWNER_S = 0.6
 TELL_OWNER_S = 0.5
@@ -173,7 +175,7 @@
 
     def _insert_once(self, key: RowKey, value: bytes, wait_s: float) -> bytes | None:
         """Insert a row; return the value of one that stood there before."""
-        until = steady_s() + wait_s * SHARE_OF_WAIT
+        began = steady_s()
         transaction = RowsTransaction((ExpectRow(key, ABSENT),), (PutRow(key, value),))
         doubtful = key.key in self._doubtful
         while True:
@@ -191,7 +193,8 @@
                         return None
                     case TransactionConflicted(rows):
                         return next(row.value for row in rows if row.key == key)
-            if steady_s() + RETRY_S > until:
+            limit_s = wait_s * UNKNOWN_SHARE if doubtful else REFUSE_AFTER_S
+            if steady_s() + RETRY_S > began + limit_s:
                 raise self._not_stored(key, doubtful, reason)
             gevent.sleep(RETRY_S)
 
