Share a transaction between the inserts of one daemon, in a part of its own

A 429 for a busy part was also taken for a store that turns the daemon away, and every such call was sent again through a peer.

Ruled out: the store's rate for all parts (600/s, not reached); fewer parts by hash (more daemons wait for each other).

Change: each daemon inserts into the part of its name, all waiting rows at once; a new owner lists the parts. After a 429 a probe decides whether the daemon is turned away.

--- /dev/null
+++ b/src/primrosehub/services/_insert_batch.py
@@ -0,0 +1,140 @@
+"""Insert rows that arrive together with one transaction."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.event import AsyncResult, Event
+
+from primrosehub.core.rows import (
+    ABSENT,
+    ExpectRow,
+    PutRow,
+    RowKey,
+    RowsTransaction,
+    StoreRefused,
+    StoreUnknown,
+    TransactionApplied,
+    TransactionConflicted,
+)
+from primrosehub.kernel.clock import steady_s
+from primrosehub.services.names.cluster import Store
+
+MAX_ROWS = 45  # below the store's 100 entries: each row is expected and written
+MAX_BYTES = 400_000  # of values, below the store's 1 MB a call in base64
+RETRY_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Inserted:
+    """Say that the row is stored by this insert or an equal one."""
+
+    existing: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class NotInserted:
+    """Say that the row was not stored in time; ``unknown`` if it still may be."""
+
+    unknown: bool
+    reason: str
+
+
+@dataclass(slots=True, eq=False)
+class _Pending:
+    key: RowKey
+    value: bytes
+    refuse_at: float
+    give_up_at: float
+    unknown: bool = False
+    result: AsyncResult = field(default_factory=AsyncResult)
+
+
+class InsertBatch:
+    """Take inserts from many callers and send them one batch at a time."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._pending: list[_Pending] = []
+        self._wake = Event()
+
+    def insert(
+        self, key: RowKey, value: bytes, refuse_after_s: float, give_up_after_s: float
+    ) -> Inserted | NotInserted:
+        """Insert a row; a known failure is told sooner than an unknown outcome."""
+        now = steady_s()
+        item = _Pending(key, value, now + refuse_after_s, now + give_up_after_s)
+        self._pending.append(item)
+        self._wake.set()
+        with gevent.Timeout(give_up_after_s, False):
+            return item.result.get()
+        if item in self._pending:
+            self._pending.remove(item)
+        return NotInserted(item.unknown, "the store did not answer in time")
+
+    def run(self) -> None:
+        """Send batches for ever."""
+        while True:
+            self._wake.wait()
+            self._wake.clear()
+            while self._pending:
+                self._send(self._next_batch())
+
+    def _next_batch(self) -> list[_Pending]:
+        batch: list[_Pending] = []
+        size = 0
+        for item in self._pending:
+            same_key = any(other.key == item.key for other in batch)
+            if len(batch) >= MAX_ROWS or size > MAX_BYTES or same_key:
+                break
+            batch.append(item)
+            size += len(item.value)
+        return batch
+
+    def _send(self, batch: list[_Pending]) -> None:
+        transaction = RowsTransaction(
+            tuple(ExpectRow(item.key, ABSENT) for item in batch),
+            tuple(PutRow(item.key, item.value) for item in batch),
+        )
+        before = [item.unknown for item in batch]
+        for item in batch:
+            item.unknown = True  # the call is on its way
+        try:
+            outcome = self._store.commit(transaction)
+        except StoreUnknown as error:
+            self._expire(batch, str(error))
+        except StoreRefused as error:
+            for item, unknown in zip(batch, before, strict=True):
+                item.unknown = unknown
+            self._expire(batch, str(error))
+        else:
+            self._settle(batch, outcome)
+
+    def _settle(
+        self,
+        batch: list[_Pending],
+        outcome: TransactionApplied | TransactionConflicted,
+    ) -> None:
+        match outcome:
+            case TransactionApplied():
+                for item in batch:
+                    self._finish(item, Inserted(None))
+            case TransactionConflicted(rows):
+                values = {row.key: row.value for row in rows}
+                for item in batch:
+                    if item.key in values:
+                        self._finish(item, Inserted(values[item.key]))
+
+    def _expire(self, batch: list[_Pending], reason: str) -> None:
+        now = steady_s()
+        for item in batch:
+            limit = item.give_up_at if item.unknown else item.refuse_at
+            if now + RETRY_S > limit:
+                self._finish(item, NotInserted(item.unknown, reason))
+        gevent.sleep(RETRY_S)
+
+    def _finish(self, item: _Pending, result: Inserted | NotInserted) -> None:
+        if item in self._pending:
+            self._pending.remove(item)
+        item.result.set(result)
--- a/src/primrosehub/services/_job_rows.py
+++ b/src/primrosehub/services/_job_rows.py
@@ -1,4 +1,8 @@
-"""Where accepted jobs and cancellations are stored."""
+"""Where accepted jobs and cancellations are stored.
+
+Each daemon inserts into a part of its own: a part takes one transaction at a time, so
+daemons that shared one would wait for each other when the store is slow.
+"""
 
 from __future__ import annotations
 
@@ -6,19 +10,12 @@
 
 JOB_TABLE = "job"
 CANCEL_TABLE = "cancel"
-_PARTS = 8  # spread inserts over the store's partitions, 200 transactions/s each
-JOB_PARTS = tuple(str(number) for number in range(_PARTS))
-
-
-def job_key(job: str) -> RowKey:
-    """Return the key of an accepted job's row."""
-    return RowKey(JOB_TABLE, _part(job), job)
-
-
-def cancel_key(job: str) -> RowKey:
-    """Return the key of a job's cancellation."""
-    return RowKey(CANCEL_TABLE, _part(job), job)
+PROGRESS_TABLE = "progress"
+# The owner's rows share a part with the row of ownership, which they expect.
+OWNER_PART = "s"
+ROSTER_KEY = RowKey("roster", OWNER_PART, "hosts")
 
 
-def _part(job: str) -> str:
-    return JOB_PARTS[int(job, 16) % _PARTS]
+def progress_key(job: str) -> RowKey:
+    """Return the key of a job's progress."""
+    return RowKey(PROGRESS_TABLE, OWNER_PART, job)
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -33,14 +33,15 @@
     TaskRun,
     apply_end,
 )
-from primrosehub.services._job_rows import CANCEL_TABLE, JOB_PARTS, JOB_TABLE
-from primrosehub.services._planner import Planner
-from primrosehub.services._progress_writer import (
+from primrosehub.services._job_rows import (
+    CANCEL_TABLE,
+    JOB_TABLE,
     OWNER_PART,
     PROGRESS_TABLE,
     ROSTER_KEY,
-    ProgressWriter,
 )
+from primrosehub.services._planner import Planner
+from primrosehub.services._progress_writer import ProgressWriter
 from primrosehub.services.names import METRICS
 from primrosehub.services.names.cluster import (
     ADVISING,
@@ -82,7 +83,7 @@
 
     def run(self) -> None:
         """Load the stored state, reach the hosts, then follow the feeds."""
-        versions = self._load()
+        version = self._load()
         self.loaded.set()
         for table, note in (
             (JOB_TABLE, self._note_job_row),
@@ -90,7 +91,7 @@
             (HOSTS_TABLE, self._note_host_row),
         ):
             self.tasks.spawn_lasting(
-                f"feed {table}", self._follow, table, versions[table], note
+                f"feed {table}", self._follow, table, version, note
             )
         self.tasks.spawn_lasting("progress", self.progress.run)
         self.tasks.spawn_lasting("planner", self.planner.run)
@@ -231,7 +232,7 @@
         self._check_settled()
         self.progress.wake()
 
-    def _load(self) -> dict[str, int]:
+    def _load(self) -> int:
         while True:
             try:
                 return self._load_once()
@@ -239,17 +240,14 @@
                 log("load_failed", epoch=self.epoch, reason=str(error)[:120])
                 gevent.sleep(RETRY_S)
 
-    def _load_once(self) -> dict[str, int]:
+    def _load_once(self) -> int:
         began = steady_s()
-        reads = {
-            (table, part): gevent.spawn(self._read_part, table, part)
-            for table in (JOB_TABLE, CANCEL_TABLE)
-            for part in JOB_PARTS
-        }
-        reads[(HOSTS_TABLE, "")] = gevent.spawn(self._read_part, HOSTS_TABLE, "")
-        reads[(PROGRESS_TABLE, OWNER_PART)] = gevent.spawn(
-            self._read_part, PROGRESS_TABLE, OWNER_PART
-        )
+        parts = [(HOSTS_TABLE, ""), (PROGRESS_TABLE, OWNER_PART)]
+        # Taken before the parts are listed: a part that is new since then is fed.
+        version = self.store.read_part(HOSTS_TABLE, "").version
+        for table in (JOB_TABLE, CANCEL_TABLE):
+            parts += [(table, part) for part in self.store.parts(table)]
+        reads = {key: gevent.spawn(self._read_part, *key) for key in parts}
         pages = {key: read.get() for key, read in reads.items()}
         for page in pages.values():
             if isinstance(page, StoreRefused):
@@ -264,10 +262,7 @@
             hosts=len(self.sessions),
             took_s=round(steady_s() - began, 3),
         )
-        versions: dict[str, int] = {}
-        for (table, _), page in pages.items():
-            versions[table] = min(page.version, versions.get(table, page.version))
-        return versions
+        return version
 
     def _read_part(self, table: str, part: str) -> RowsPage | StoreRefused:
         try:
@@ -325,9 +320,10 @@
                 after = max(after, page.version)
 
     def _reread(self, table: str, note: Callable[[StoredRow], None]) -> int:
-        parts = JOB_PARTS if table != HOSTS_TABLE else ("",)
         while True:
             try:
+                parts = [""] if table == HOSTS_TABLE else self.store.parts(table)
+                version = self.store.read_part(HOSTS_TABLE, "").version
                 pages = [self.store.read_part(table, part) for part in parts]
             except StoreRefused:
                 gevent.sleep(RETRY_S)
@@ -337,7 +333,7 @@
                     note(row)
             if table == HOSTS_TABLE:
                 self._note_missing({row.key.key for row in pages[0].rows})
-            return min(page.version for page in pages)
+            return version
 
     def _note_job_row(self, row: StoredRow) -> None:
         if not row.deleted and row.key.key not in self.book.jobs:
--- a/src/primrosehub/services/_progress_writer.py
+++ b/src/primrosehub/services/_progress_writer.py
@@ -10,8 +10,9 @@
 
 from primrosehub.border.codec import encode
 from primrosehub.core.logs import log
-from primrosehub.core.rows import PutRow, RowKey, RowsTransaction, StoreRefused
+from primrosehub.core.rows import PutRow, RowsTransaction, StoreRefused
 from primrosehub.kernel.clock import steady_s
+from primrosehub.services._job_rows import ROSTER_KEY, progress_key
 from primrosehub.services.names.cluster import OwnershipLost
 
 if TYPE_CHECKING:
@@ -21,9 +22,6 @@
 GATHER_S = 0.02  # ends within this time share a transaction
 MAX_ROWS = 90  # below the store's 100 entries with the owner's row
 RETRY_S = 0.1
-PROGRESS_TABLE = "progress"
-OWNER_PART = "s"
-ROSTER_KEY = RowKey("roster", OWNER_PART, "hosts")
 
 
 class ProgressWriter:
@@ -86,7 +84,7 @@
         states = [job.state for job in jobs]
         writes = [
             PutRow(
-                RowKey(PROGRESS_TABLE, OWNER_PART, job.accepted.job),
+                progress_key(job.accepted.job),
                 encode(book.progress_of(job)),
             )
             for job in jobs
--- a/src/primrosehub/services/intake.py
+++ b/src/primrosehub/services/intake.py
@@ -5,8 +5,6 @@
 import re
 from contextlib import ExitStack
 
-import gevent
-
 from primrosehub.border.codec import decode, encode
 from primrosehub.core.batch import (
     FINAL_STATES,
@@ -27,20 +25,11 @@
     StateIs,
     WaitingIs,
 )
-from primrosehub.core.rows import (
-    ABSENT,
-    ExpectRow,
-    PutRow,
-    RowKey,
-    RowsTransaction,
-    StoreRefused,
-    StoreUnknown,
-    TransactionApplied,
-    TransactionConflicted,
-)
+from primrosehub.core.rows import RowKey, StoreRefused
 from primrosehub.kernel import Kernel
 from primrosehub.kernel.clock import steady_s, unix_ms
-from primrosehub.services._job_rows import cancel_key, job_key
+from primrosehub.services._insert_batch import InsertBatch, Inserted, NotInserted
+from primrosehub.services._job_rows import CANCEL_TABLE, JOB_TABLE, progress_key
 from primrosehub.services.names import METRICS
 from primrosehub.services.names.cluster import (
     CLUSTER_CONFIG,
@@ -55,7 +44,6 @@
 UNKNOWN_SHARE = 0.4  # of the caller's wait, before an unknown outcome is told
 # A quarter of the shortest objective on the users' sheets: callers retry at once.
 REFUSE_AFTER_S = 0.4
-RETRY_S = 0.15
 ASK_OWNER_S = 0.6
 TELL_OWNER_S = 0.5
 WAITING_FRESH_S = 1.5  # an older count is not told
@@ -77,7 +65,10 @@
         self._peering = self._kernel.find(PEERING)
         self._scheduler = self._kernel.find(SCHEDULER)
         self._metrics = self._kernel.find(METRICS)
+        self._part = self._peering.me.name
+        self._batch = InsertBatch(self._store)
         self._tasks = self._kernel.tasks(stack)
+        self._tasks.spawn_lasting("insert-batch", self._batch.run)
 
     def submit(
         self, host: str, path: str, secret: str | None, spec: BatchSpec, wait_s: float
@@ -121,7 +112,7 @@
         known = self._ask_owner(AskState(job_id, team))
         if not (isinstance(known, StateIs) and known.state):
             self._state_from_store(job_id, team)
-        self._insert_once(cancel_key(job_id), b"{}", wait_s)
+        self._insert_once(CANCEL_TABLE, job_id, b"{}", wait_s)
         log("cancel_accepted", job=job_id, team=team)
         self._tasks.spawn("tell-owner", self._tell_owner, JobCancelled(job_id))
 
@@ -160,8 +151,9 @@
 
     def _insert_job(self, accepted: AcceptedJob, wait_s: float) -> bool:
         """Store the job; tell whether it is new, or the same one was stored before."""
-        stored = self._insert_once(job_key(accepted.job), encode(accepted), wait_s)
-        if stored is None:
+        value = encode(accepted)
+        stored = self._insert_once(JOB_TABLE, accepted.job, value, wait_s)
+        if stored == value:
             return True
         before = decode(AcceptedJob, stored)
         same = (before.team, before.queue, before.spec) == (
@@ -173,30 +165,20 @@
             raise HubError(ErrorKind.CONFLICT, "another job has this id")
         return False
 
-    def _insert_once(self, key: RowKey, value: bytes, wait_s: float) -> bytes | None:
-        """Insert a row; return the value of one that stood there before."""
-        began = steady_s()
-        transaction = RowsTransaction((ExpectRow(key, ABSENT),), (PutRow(key, value),))
-        doubtful = key.key in self._doubtful
-        while True:
-            try:
-                outcome = self._store.commit(transaction)
-            except StoreUnknown as error:
-                doubtful, reason = True, str(error)
-                self._doubtful[key.key] = steady_s()
-            except StoreRefused as error:
-                reason = str(error)
-            else:
-                self._doubtful.pop(key.key, None)
-                match outcome:
-                    case TransactionApplied():
-                        return None
-                    case TransactionConflicted(rows):
-                        return next(row.value for row in rows if row.key == key)
-            limit_s = wait_s * UNKNOWN_SHARE if doubtful else REFUSE_AFTER_S
-            if steady_s() + RETRY_S > began + limit_s:
-                raise self._not_stored(key, doubtful, reason)
-            gevent.sleep(RETRY_S)
+    def _insert_once(self, table: str, job: str, value: bytes, wait_s: float) -> bytes:
+        """Insert a row; return its value, or that of one that stood there before."""
+        key = RowKey(table, self._part, job)
+        result = self._batch.insert(
+            key, value, REFUSE_AFTER_S, max(REFUSE_AFTER_S, wait_s * UNKNOWN_SHARE)
+        )
+        match result:
+            case Inserted(existing):
+                self._doubtful.pop(job, None)
+                return value if existing is None else existing
+            case NotInserted(unknown, reason):
+                if unknown:
+                    self._doubtful[job] = steady_s()
+                raise self._not_stored(key, job in self._doubtful, reason)
 
     def _not_stored(self, key: RowKey, doubtful: bool, reason: str) -> HubError:
         log("not_stored", job=key.key, table=key.table, unknown=doubtful, reason=reason)
@@ -208,19 +190,27 @@
 
     def _state_from_store(self, job_id: str, team: str) -> JobState:
         try:
-            row = self._store.read_one(job_key(job_id))
-            if row is None or decode(AcceptedJob, row.value).team != team:
+            stored = self._find_row(JOB_TABLE, job_id)
+            if stored is None or decode(AcceptedJob, stored).team != team:
                 raise HubError(ErrorKind.NO_SUCH_JOB, f"no job {job_id}")
-            if self._store.read_one(cancel_key(job_id)) is not None:
+            progress = self._store.read_one(progress_key(job_id))
+            if progress is None and self._find_row(CANCEL_TABLE, job_id) is not None:
                 return JobState.CANCELLED
-            stored = self._store.read_one(RowKey("progress", "s", job_id))
         except StoreRefused as error:
             raise HubError(ErrorKind.UNAVAILABLE, f"the job's state: {error}") from None
-        if stored is None:
+        if progress is None:
             return JobState.QUEUED
-        state = decode(JobProgress, stored.value).state
+        state = decode(JobProgress, progress.value).state
         return state if state in FINAL_STATES else JobState.RUNNING
 
+    def _find_row(self, table: str, job: str) -> bytes | None:
+        """Return a row's value from whichever daemon's part holds it."""
+        for part in self._store.parts(table):
+            row = self._store.read_one(RowKey(table, part, job))
+            if row is not None:
+                return row.value
+        return None
+
     def _ask_owner(self, message: AskState | AskWaiting) -> PeerMessage | None:
         if self._ownership.leading:
             try:
--- a/src/primrosehub/services/names/cluster.py
+++ b/src/primrosehub/services/names/cluster.py
@@ -35,6 +35,9 @@
     def read_part(self, table: str, part: str) -> RowsPage:
         """Return all rows of a part; raise StoreRefused."""
 
+    def parts(self, table: str) -> list[str]:
+        """Return the parts of a table; raise StoreRefused."""
+
     def changes(self, table: str, after: int, wait_s: float) -> RowsPage:
         """Return the changes after a version; raise StoreRefused or HistoryLost."""
 
--- a/src/primrosehub/services/store.py
+++ b/src/primrosehub/services/store.py
@@ -32,7 +32,6 @@
 PEER_FRESH_S = 1.0  # a relay must have answered a ping within this time
 RELAY_TRIES = 2
 RELAY_MARGIN_S = 0.3  # the way to a peer and back
-_TURNED_AWAY = (429, 503)
 _PROBE_KEY = RowKey("owner", "s", "cell")
 
 
@@ -46,7 +45,7 @@
         self._rows = RowStore(self._carry)
         self._direct_rows = RowStore(self._carry_directly)
         self._reached = True
-        self._lost = Event()
+        self._doubt = Event()
 
     @property
     def reached_directly(self) -> bool:
@@ -73,6 +72,10 @@
         """Return all rows of a part; raise StoreRefused."""
         return self._rows.read_part(table, part, CALL_TIMEOUT_S)
 
+    def parts(self, table: str) -> list[str]:
+        """Return the parts of a table; raise StoreRefused."""
+        return self._rows.parts(table, CALL_TIMEOUT_S)
+
     def changes(self, table: str, after: int, wait_s: float) -> RowsPage:
         """Return the changes after a version; raise StoreRefused or HistoryLost."""
         return self._rows.changes(table, after, wait_s, wait_s + CALL_TIMEOUT_S)
@@ -84,9 +87,15 @@
             except StoreRefused as error:
                 self._lose(str(error))
             else:
-                if reply.status not in _TURNED_AWAY:
-                    return reply
-                self._lose(f"status {reply.status}")
+                match reply.status:
+                    case 429:
+                        # Either this part is busy or this daemon is turned away.
+                        self._doubt.set()
+                        raise StoreRefused(f"status 429: {reply.body[:100]!r}")
+                    case 503:
+                        self._lose("status 503")
+                    case _:
+                        return reply
         return self._carry_by_peer(call)
 
     def _carry_directly(self, call: StoreCall) -> StoreReply:
@@ -150,18 +159,23 @@
         if self._reached:
             self._reached = False
             log("store_lost", reason=reason)
-        self._lost.set()
+        self._doubt.set()
 
     def _probe(self) -> None:
+        """Find out whether the store serves this daemon, whenever that is in doubt."""
         while True:
-            self._lost.wait()
+            self._doubt.wait()
             since = steady_s()
-            while not self._reached:
+            while True:
                 try:
                     self._direct_rows.read_one(_PROBE_KEY, CALL_TIMEOUT_S)
-                except StoreRefused:
+                except StoreRefused as error:
+                    self._lose(str(error))
                     gevent.sleep(PROBE_S)
                 else:
-                    self._reached = True
-                    log("store_regained", after_s=round(steady_s() - since, 3))
-            self._lost.clear()
+                    break
+            if not self._reached:
+                self._reached = True
+                log("store_regained", after_s=round(steady_s() - since, 3))
+            self._doubt.clear()
+            gevent.sleep(PROBE_S)
--- a/src/primrosehub_standins/hub_cell.py
+++ b/src/primrosehub_standins/hub_cell.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 import socket
 from contextlib import ExitStack
@@ -33,11 +34,21 @@
 ROOM = {"cpu": 8000, "mem-mb": 16384, "gpu": 0}
 
 
+# Below the range that the kernel gives to outgoing connections.
+_PORTS = itertools.cycle(range(20_000, 30_000))
+
+
 def free_port() -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind((IP, 0))
-        return sock.getsockname()[1]
+    """Return a port that nothing listens on and no connection will be given."""
+    for port in _PORTS:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((IP, port))
+            except OSError:
+                continue
+        return port
+    raise AssertionError("no free port")
 
 
 @dataclass(slots=True)
--- a/src/primrosehub_standins/row_store.py
+++ b/src/primrosehub_standins/row_store.py
@@ -110,6 +110,10 @@
                 return self._transact(door, json_of(environ), start)
             case "/primrosehub/rows-get":
                 return self._get(query, start)
+            case "/primrosehub/rows-parts":
+                table = query["table-name"]
+                parts = sorted({key[1] for key in self.rows if key[0] == table})
+                return reply_json(start, {"parts": parts, "has-more": False})
             case "/primrosehub/rows-feed":
                 return self._feed(query, start)
         body_of(environ)
