Split what a term reads from what it does; restart lasting tasks however they end

Ruled out: treating its end as the job's. An unreadable job row is logged and passed over instead of ending the load.

--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -374,11 +374,11 @@
     if checkpoint:
         keep_checkpoint(task, checkpoint)
     match kind:
-        case EndKind.DONE:
+        case EndKind.DONE if not task.step.spec.long_running:
             return book.end_done(task)
         case EndKind.FAILED:
             stops = book.end_failed(task, task.attempt, host)
-        case EndKind.STOPPED | EndKind.LAPSED | EndKind.BROKEN | EndKind.ALONE:
+        case _:
             book.dirty.add(task.id.job)
             stops = []
     return stops + _broken_gang(task.step)
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -2,27 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import replace
 
 import gevent
 from gevent.event import Event
 
-from primrosehub.border.codec import decode
 from primrosehub.core.batch import AcceptedJob, JobProgress
 from primrosehub.core.fleet import EndKind, RunningAttempt, WorkerHost
 from primrosehub.core.logs import log
-from primrosehub.core.resources import NOTHING
-from primrosehub.core.rows import (
-    HistoryLost,
-    RowsPage,
-    StoredRow,
-    StoreRefused,
-)
+from primrosehub.core.rows import StoreRefused
 from primrosehub.kernel import Kernel, TaskGroup
 from primrosehub.kernel.clock import steady_s, unix_ms
-from primrosehub.platform.hosts import decode_host
-from primrosehub.platform.wire import HOSTS_TABLE
 from primrosehub.policy.host_pace import remaining_s
 from primrosehub.policy.urgency import ShareMeter
 from primrosehub.services import _reports
@@ -33,15 +23,9 @@
     TaskRun,
     apply_end,
 )
-from primrosehub.services._job_rows import (
-    CANCEL_TABLE,
-    JOB_TABLE,
-    OWNER_PART,
-    PROGRESS_TABLE,
-    ROSTER_KEY,
-)
 from primrosehub.services._planner import Planner
 from primrosehub.services._progress_writer import ProgressWriter
+from primrosehub.services._term_rows import TermRows
 from primrosehub.services.names import METRICS
 from primrosehub.services.names.cluster import (
     ADVISING,
@@ -50,12 +34,10 @@
     STORE,
 )
 
-FEED_WAIT_S = 2.0
 RETRY_S = 0.2
 # An earlier owner sends orders for at most 2 s after its last confirmation.
 UNREACHED_S = LEASE_S / CLOCK_RATE + 2.0 + 0.5
-LISTING_GRACE_S = 2.5  # a living host's entry is back by then after an outage
-LIMIT_AGE_MS = 3_600_000
+MAX_AGE_MS = 3_600_000  # of a job, lest a jumped clock makes it older
 
 
 class OwnerTerm:
@@ -74,6 +56,7 @@
         self.sessions: dict[str, HostSession] = {}
         self.progress = ProgressWriter(self)
         self.planner = Planner(self)
+        self.rows = TermRows(self)
         self.loaded = Event()
         self.settled = False
         self.began_at = steady_s()
@@ -83,16 +66,9 @@
 
     def run(self) -> None:
         """Load the stored state, reach the hosts, then follow the feeds."""
-        version = self._load()
+        version = self.rows.load()
         self.loaded.set()
-        for table, note in (
-            (JOB_TABLE, self._note_job_row),
-            (CANCEL_TABLE, self._note_cancel_row),
-            (HOSTS_TABLE, self._note_host_row),
-        ):
-            self.tasks.spawn_lasting(
-                f"feed {table}", self._follow, table, version, note
-            )
+        self.rows.follow(version)
         self.tasks.spawn_lasting("progress", self.progress.run)
         self.tasks.spawn_lasting("planner", self.planner.run)
         self.tasks.spawn_lasting("confirm", self._confirm_new_jobs)
@@ -118,7 +94,7 @@
         now = steady_s()
         queue = self.config.current.queue_named(accepted.queue)
         job = self.book.add(accepted, queue, progress, now, at_take_over)
-        age_ms = max(0, min(LIMIT_AGE_MS, unix_ms() - accepted.accepted_ms))
+        age_ms = max(0, min(MAX_AGE_MS, unix_ms() - accepted.accepted_ms))
         job.submitted_at = now - (age_ms / 1000 if at_take_over else 0.0)
         team = self.config.current.teams.get(accepted.team)
         if team is not None:
@@ -192,6 +168,19 @@
         """Compare a host's report with what is believed of it."""
         _reports.apply_report(self, session, report, sent)
 
+    def open_session(self, info: WorkerHost) -> HostSession:
+        """Begin to talk to a host."""
+        session = HostSession(self, info)
+        self.sessions[info.host] = session
+        session.open(self.tasks)
+        self.progress.wake()
+        return session
+
+    def host_moved(self, session: HostSession) -> None:
+        """Drop a session whose host has registered anew at another address."""
+        session.close()
+        self.host_lost_all(session, "moved")
+
     def host_reached(self, session: HostSession) -> None:
         """Take note of a host's first report in this term."""
         self._check_settled()
@@ -232,150 +221,6 @@
         self._check_settled()
         self.progress.wake()
 
-    def _load(self) -> int:
-        while True:
-            try:
-                return self._load_once()
-            except StoreRefused as error:
-                log("load_failed", epoch=self.epoch, reason=str(error)[:120])
-                gevent.sleep(RETRY_S)
-
-    def _load_once(self) -> int:
-        began = steady_s()
-        parts = [(HOSTS_TABLE, ""), (PROGRESS_TABLE, OWNER_PART)]
-        # Taken before the parts are listed: a part that is new since then is fed.
-        version = self.store.read_part(HOSTS_TABLE, "").version
-        for table in (JOB_TABLE, CANCEL_TABLE):
-            parts += [(table, part) for part in self.store.parts(table)]
-        reads = {key: gevent.spawn(self._read_part, *key) for key in parts}
-        pages = {key: read.get() for key, read in reads.items()}
-        for page in pages.values():
-            if isinstance(page, StoreRefused):
-                raise page
-        roster = self.store.read_one(ROSTER_KEY)
-        self._apply_loaded(pages, roster)
-        log(
-            "term_loaded",
-            epoch=self.epoch,
-            jobs=len(self.book.jobs),
-            open=sum(not job.final for job in self.book.jobs.values()),
-            hosts=len(self.sessions),
-            took_s=round(steady_s() - began, 3),
-        )
-        return version
-
-    def _read_part(self, table: str, part: str) -> RowsPage | StoreRefused:
-        try:
-            return self.store.read_part(table, part)
-        except StoreRefused as error:
-            return error
-
-    def _apply_loaded(
-        self, pages: dict[tuple[str, str], RowsPage], roster: StoredRow | None
-    ) -> None:
-        progress = {}
-        for row in pages[(PROGRESS_TABLE, OWNER_PART)].rows:
-            progress[row.key.key] = decode(JobProgress, row.value)
-        for (table, _), page in pages.items():
-            if table == JOB_TABLE:
-                for row in page.rows:
-                    accepted = decode(AcceptedJob, row.value)
-                    self.add_job(accepted, progress.get(accepted.job), True)
-        for (table, _), page in pages.items():
-            if table == CANCEL_TABLE:
-                for row in page.rows:
-                    self.cancel(row.key.key)
-        if roster is not None:
-            for host, address in decode(dict[str, str], roster.value).items():
-                self._open_unlisted(host, address)
-        for row in pages[(HOSTS_TABLE, "")].rows:
-            self._note_host_row(row)
-
-    def _open_unlisted(self, host: str, address: str) -> None:
-        info = WorkerHost(host, "", address, "", False, NOTHING, ())
-        session = self._open(info)
-        session.listed, session.unlisted_at = False, float("-inf")
-
-    def _open(self, info: WorkerHost) -> HostSession:
-        session = HostSession(self, info)
-        self.sessions[info.host] = session
-        session.open(self.tasks)
-        self.progress.wake()
-        return session
-
-    def _follow(
-        self, table: str, after: int, note: Callable[[StoredRow], None]
-    ) -> None:
-        while True:
-            try:
-                page = self.store.changes(table, after, FEED_WAIT_S)
-            except HistoryLost:
-                log("history_lost", table=table, after=after)
-                after = self._reread(table, note)
-            except StoreRefused:
-                gevent.sleep(RETRY_S)
-            else:
-                for row in page.rows:
-                    note(row)
-                after = max(after, page.version)
-
-    def _reread(self, table: str, note: Callable[[StoredRow], None]) -> int:
-        while True:
-            try:
-                parts = [""] if table == HOSTS_TABLE else self.store.parts(table)
-                version = self.store.read_part(HOSTS_TABLE, "").version
-                pages = [self.store.read_part(table, part) for part in parts]
-            except StoreRefused:
-                gevent.sleep(RETRY_S)
-                continue
-            for page in pages:
-                for row in page.rows:
-                    note(row)
-            if table == HOSTS_TABLE:
-                self._note_missing({row.key.key for row in pages[0].rows})
-            return version
-
-    def _note_job_row(self, row: StoredRow) -> None:
-        if not row.deleted and row.key.key not in self.book.jobs:
-            self.add_job(decode(AcceptedJob, row.value), None, False)
-
-    def _note_cancel_row(self, row: StoredRow) -> None:
-        if not row.deleted:
-            self.cancel(row.key.key)
-
-    def _note_host_row(self, row: StoredRow) -> None:
-        host = row.key.key
-        session = self.sessions.get(host)
-        if row.deleted:
-            self._note_missing(set(self.sessions) - {host})
-            return
-        try:
-            info = decode_host(host, row.value)
-        except ValueError as error:
-            log("host_row_unreadable", host=host, reason=str(error)[:200])
-            return
-        if session is not None and session.info.address != info.address:
-            session.close()
-            self.host_lost_all(session, "moved")
-            session = None
-        if session is None:
-            session = self._open(info)
-            log("host_listed", host=host, draining=info.draining, labels=info.labels)
-            return
-        if info.draining and not session.info.draining:
-            self.host_draining(session)
-        if not session.listed or session.info != info:
-            self.wake()
-        session.listed = True
-        session.info = info
-
-    def _note_missing(self, listed: set[str]) -> None:
-        now = steady_s()
-        for host, session in self.sessions.items():
-            if host not in listed and session.listed:
-                session.listed, session.unlisted_at = False, now
-                log("host_unlisted", host=host, running=len(session.bound))
-
     def _confirm_new_jobs(self) -> None:
         """Confirm the ownership after new jobs are learned, before they start."""
         while True:
--- a/src/primrosehub/services/_reports.py
+++ b/src/primrosehub/services/_reports.py
@@ -92,7 +92,7 @@
     if end.checkpoint and not task.host and not task.checkpoint:
         task.checkpoint = end.checkpoint
     match end.kind:
-        case EndKind.DONE:
+        case EndKind.DONE if not task.step.spec.long_running:
             return term.book.end_done(task)
         case EndKind.FAILED:
             return term.book.end_failed(task, end.attempt, host)
--- /dev/null
+++ b/src/primrosehub/services/_term_rows.py
@@ -0,0 +1,195 @@
+"""What a term reads from the store: all rows at its start, then their changes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import gevent
+
+from primrosehub.border.codec import decode
+from primrosehub.core.batch import AcceptedJob, JobProgress
+from primrosehub.core.fleet import WorkerHost
+from primrosehub.core.logs import log
+from primrosehub.core.resources import NOTHING
+from primrosehub.core.rows import HistoryLost, RowsPage, StoredRow, StoreRefused
+from primrosehub.kernel.clock import steady_s
+from primrosehub.platform.hosts import decode_host
+from primrosehub.platform.wire import HOSTS_TABLE
+from primrosehub.services._job_rows import (
+    CANCEL_TABLE,
+    JOB_TABLE,
+    OWNER_PART,
+    PROGRESS_TABLE,
+    ROSTER_KEY,
+)
+
+if TYPE_CHECKING:
+    from primrosehub.services._owner_term import OwnerTerm
+
+FEED_WAIT_S = 2.0  # how long the store may hold back an answer without changes
+RETRY_S = 0.2
+
+
+class TermRows:
+    """Read and follow the rows of jobs, cancellations and worker hosts."""
+
+    def __init__(self, term: OwnerTerm) -> None:
+        self._term = term
+
+    def load(self) -> int:
+        """Read all rows once and return the version from which to follow them."""
+        while True:
+            try:
+                return self._load_once()
+            except StoreRefused as error:
+                log("load_failed", epoch=self._term.epoch, reason=str(error)[:120])
+                gevent.sleep(RETRY_S)
+
+    def _load_once(self) -> int:
+        began = steady_s()
+        parts = [(HOSTS_TABLE, ""), (PROGRESS_TABLE, OWNER_PART)]
+        # Taken before the parts are listed: a part that is new since then is fed.
+        version = self._term.store.read_part(HOSTS_TABLE, "").version
+        for table in (JOB_TABLE, CANCEL_TABLE):
+            parts += [(table, part) for part in self._term.store.parts(table)]
+        reads = {key: gevent.spawn(self._read_part, *key) for key in parts}
+        pages = {key: read.get() for key, read in reads.items()}
+        for page in pages.values():
+            if isinstance(page, StoreRefused):
+                raise page
+        roster = self._term.store.read_one(ROSTER_KEY)
+        self._apply_loaded(pages, roster)
+        log(
+            "term_loaded",
+            epoch=self._term.epoch,
+            jobs=len(self._term.book.jobs),
+            open=sum(not job.final for job in self._term.book.jobs.values()),
+            hosts=len(self._term.sessions),
+            took_s=round(steady_s() - began, 3),
+        )
+        return version
+
+    def _read_part(self, table: str, part: str) -> RowsPage | StoreRefused:
+        try:
+            return self._term.store.read_part(table, part)
+        except StoreRefused as error:
+            return error
+
+    def _apply_loaded(
+        self, pages: dict[tuple[str, str], RowsPage], roster: StoredRow | None
+    ) -> None:
+        progress = {}
+        for row in pages[(PROGRESS_TABLE, OWNER_PART)].rows:
+            progress[row.key.key] = decode(JobProgress, row.value)
+        for (table, _), page in pages.items():
+            if table == JOB_TABLE:
+                for row in page.rows:
+                    self._add_job(row, progress.get(row.key.key), True)
+        for (table, _), page in pages.items():
+            if table == CANCEL_TABLE:
+                for row in page.rows:
+                    self._term.cancel(row.key.key)
+        if roster is not None:
+            for host, address in decode(dict[str, str], roster.value).items():
+                self._open_unlisted(host, address)
+        for row in pages[(HOSTS_TABLE, "")].rows:
+            self._note_host_row(row)
+
+    def _open_unlisted(self, host: str, address: str) -> None:
+        info = WorkerHost(host, "", address, "", False, NOTHING, ())
+        session = self._term.open_session(info)
+        session.listed, session.unlisted_at = False, float("-inf")
+
+    def follow(self, version: int) -> None:
+        """Spawn a task for each table whose changes matter."""
+        for table, note in (
+            (JOB_TABLE, self._note_job_row),
+            (CANCEL_TABLE, self._note_cancel_row),
+            (HOSTS_TABLE, self._note_host_row),
+        ):
+            self._term.tasks.spawn_lasting(
+                f"feed {table}", self._follow, table, version, note
+            )
+
+    def _follow(
+        self, table: str, after: int, note: Callable[[StoredRow], None]
+    ) -> None:
+        while True:
+            try:
+                page = self._term.store.changes(table, after, FEED_WAIT_S)
+            except HistoryLost:
+                log("history_lost", table=table, after=after)
+                after = self._reread(table, note)
+            except StoreRefused:
+                gevent.sleep(RETRY_S)
+            else:
+                for row in page.rows:
+                    note(row)
+                after = max(after, page.version)
+
+    def _reread(self, table: str, note: Callable[[StoredRow], None]) -> int:
+        while True:
+            try:
+                parts = [""] if table == HOSTS_TABLE else self._term.store.parts(table)
+                version = self._term.store.read_part(HOSTS_TABLE, "").version
+                pages = [self._term.store.read_part(table, part) for part in parts]
+            except StoreRefused:
+                gevent.sleep(RETRY_S)
+                continue
+            for page in pages:
+                for row in page.rows:
+                    note(row)
+            if table == HOSTS_TABLE:
+                self._note_missing({row.key.key for row in pages[0].rows})
+            return version
+
+    def _note_job_row(self, row: StoredRow) -> None:
+        if not row.deleted and row.key.key not in self._term.book.jobs:
+            self._add_job(row, None, False)
+
+    def _add_job(
+        self, row: StoredRow, progress: JobProgress | None, at_take_over: bool
+    ) -> None:
+        try:
+            accepted = decode(AcceptedJob, row.value)
+        except ValueError as error:
+            log("job_row_unreadable", job=row.key.key, reason=str(error)[:200])
+            return
+        self._term.add_job(accepted, progress, at_take_over)
+
+    def _note_cancel_row(self, row: StoredRow) -> None:
+        if not row.deleted:
+            self._term.cancel(row.key.key)
+
+    def _note_host_row(self, row: StoredRow) -> None:
+        host = row.key.key
+        session = self._term.sessions.get(host)
+        if row.deleted:
+            self._note_missing(set(self._term.sessions) - {host})
+            return
+        try:
+            info = decode_host(host, row.value)
+        except ValueError as error:
+            log("host_row_unreadable", host=host, reason=str(error)[:200])
+            return
+        if session is not None and session.info.address != info.address:
+            self._term.host_moved(session)
+            session = None
+        if session is None:
+            session = self._term.open_session(info)
+            log("host_listed", host=host, draining=info.draining, labels=info.labels)
+            return
+        if info.draining and not session.info.draining:
+            self._term.host_draining(session)
+        if not session.listed or session.info != info:
+            self._term.wake()
+        session.listed = True
+        session.info = info
+
+    def _note_missing(self, listed: set[str]) -> None:
+        now = steady_s()
+        for host, session in self._term.sessions.items():
+            if host not in listed and session.listed:
+                session.listed, session.unlisted_at = False, now
+                log("host_unlisted", host=host, running=len(session.bound))
