--- a/model/check.py
+++ b/model/check.py
@@ -12,10 +12,10 @@
 
 import defopt
 
-from model import grants, ownership
+from model import grants, hub, ownership
 from model.explore import Explored, explore
 
-SPECIFICATIONS: tuple[ModuleType, ...] = (ownership, grants)
+SPECIFICATIONS: tuple[ModuleType, ...] = (ownership, grants, hub)
 
 
 def check(spec: ModuleType, number: int, whole: bool, without: str | None) -> Explored:
--- a/testing/protocol/test_model.py
+++ b/testing/protocol/test_model.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 
 import pytest
-from model import grants, ownership
+from model import grants, hub, ownership
 from model.check import check, guard_names
 
 from primrosehub.core import members, platform
@@ -59,3 +59,13 @@
 def test_the_protocol_page_lists_the_messages():
     page = (DOCS / "PROTOCOL.md").read_text()
     assert all(f"`{name}`" in page for name in MESSAGES)
+
+
+def test_no_written_start_is_needed_on_the_platform():
+    found = check(hub, 0, whole=False, without=None)
+    assert found.violation is None
+
+
+@pytest.mark.parametrize("guard", guard_names(hub))
+def test_every_guard_of_the_hub_is_needed(guard):
+    assert check(hub, 0, whole=False, without=guard).violation
