End a closed term's tasks for good, and count the room of ended jobs' attempts

A daemon that woke from a freeze also took over at once from an owner that it had just learned of.

Ruled out: hosts that remember a higher fence than was ever given.

Change: a closed task group runs nothing more; orders and refusals are tied to their epoch; a newly learned owner gets its own time to be heard; needs of ended jobs stay known.

Result: the tests fail without each guard (room: started before stopped) and pass with it.

--- a/src/primrosehub/kernel/_tasks.py
+++ b/src/primrosehub/kernel/_tasks.py
@@ -20,6 +20,7 @@
     def __init__(self, on_failure: Callable[[str, BaseException], None]) -> None:
         self._on_failure = on_failure
         self._tasks: set[Greenlet] = set()
+        self._closed = False
 
     def __len__(self) -> int:
         return len(self._tasks)
@@ -35,11 +36,19 @@
         return self._spawn(self._repeat, name, function, *args)
 
     def close(self) -> None:
-        """End every greenlet and wait for it, except the calling one."""
+        """End every greenlet and wait for it; run none that is spawned later.
+
+        A caller that belongs to the group ends at its next wait.
+        """
+        self._closed = True
         me = gevent.getcurrent()
         gevent.killall([task for task in self._tasks if task is not me])
+        if me in self._tasks:
+            me.kill(block=False)
 
     def _spawn(self, *args: Any) -> Greenlet:
+        if self._closed:
+            return Greenlet()
         task = gevent.spawn(*args)
         self._tasks.add(task)
         task.rawlink(self._tasks.discard)
--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -180,7 +180,7 @@
 
     def _keep_lease(self) -> None:
         while not self.closed:
-            if not self._term.ownership.may_order:
+            if not self._term.may_order:
                 gevent.sleep(0.05)
                 continue
             pending = self.noted_end > self.durable_end
@@ -246,7 +246,7 @@
         log("lease_refused", host=self.host, reason=reason)
         match reason:
             case RefusalReason.STALE_EPOCH:
-                self._term.ownership.deposed(f"refused by {self.host}")
+                self._term.deposed(f"refused by {self.host}")
             case RefusalReason.OTHER_INCARNATION:
                 self._term.host_replaced(self)
             case _:
@@ -289,7 +289,7 @@
             return False
         if task.phase is not TaskPhase.STARTING:
             return False
-        if not self._term.ownership.may_order or not self.answering:
+        if not self._term.may_order or not self.answering:
             self._term.not_started(self, task, "host or ownership in doubt")
             return False
         return True
@@ -313,7 +313,7 @@
         log("start_refused", **_where(task), host=self.host, reason=reason)
         match reason:
             case RefusalReason.STALE_EPOCH:
-                self._term.ownership.deposed(f"refused by {self.host}")
+                self._term.deposed(f"refused by {self.host}")
                 return
             case RefusalReason.NO_TICKET:
                 task.step.tickets.pop(self.host, None)
@@ -330,7 +330,7 @@
                 task.host != self.host or task.attempt != order.attempt
             ):
                 return
-            if self._term.ownership.may_order:
+            if self._term.may_order:
                 outcome = self.client.stop(order, ORDER_TIMEOUT_S)
                 if self._stop_settled(task, order, outcome, reason):
                     return
@@ -348,7 +348,7 @@
                     task.stop_answered_at = steady_s()
                 return True
             case OrderRefused(RefusalReason.STALE_EPOCH):
-                self._term.ownership.deposed(f"refused by {self.host}")
+                self._term.deposed(f"refused by {self.host}")
                 return True
             case OrderRefused(RefusalReason.OTHER_INCARNATION):
                 self._term.host_replaced(self)
--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -174,6 +174,13 @@
             return None
         return step.tasks[task_id.index]
 
+    def need_of(self, task_id: TaskId) -> Resources | None:
+        """Return a task's need, also of a job that has ended; None if unknown."""
+        job = self.jobs.get(task_id.job)
+        if job is None or task_id.step >= len(job.accepted.spec.steps):
+            return None
+        return job.accepted.spec.steps[task_id.step].need
+
     def bind(self, task: TaskRun, host: str, attempt: int, phase: TaskPhase) -> None:
         """Count a task's need against a host and its team."""
         task.host, task.attempt, task.phase = host, attempt, phase
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -64,6 +64,15 @@
         self._confirm_wanted = Event()
         self._shares: dict[str, ShareMeter] = {}
 
+    @property
+    def may_order(self) -> bool:
+        """Tell whether orders of this term may still be sent."""
+        return self.ownership.may_order(self.epoch)
+
+    def deposed(self, reason: str) -> None:
+        """Take note that a host has seen a higher epoch than this term's."""
+        self.ownership.deposed(self.epoch, reason)
+
     def run(self) -> None:
         """Load the stored state, reach the hosts, then follow the feeds."""
         version = self.rows.load()
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -50,7 +50,7 @@
             self.changed.wait(IDLE_S)
             gevent.sleep(GATHER_S)
             self.changed.clear()
-            if self._term.ownership.may_order:
+            if self._term.may_order:
                 self._plan()
 
     def _plan(self) -> None:
--- a/src/primrosehub/services/_reports.py
+++ b/src/primrosehub/services/_reports.py
@@ -12,7 +12,6 @@
     StopOrder,
 )
 from primrosehub.core.logs import log
-from primrosehub.core.resources import NOTHING
 from primrosehub.kernel.clock import steady_s
 from primrosehub.policy.host_trust import is_stuck
 from primrosehub.services._host_session import HostSession
@@ -129,7 +128,8 @@
     if wanted:
         term.adopt(session, task, run)
         return
-    need = task.step.spec.need if task is not None else NOTHING
+    # An unknown job's attempt may use all of the host, for all that is known.
+    need = term.book.need_of(run.task) or session.info.room
     session.stop_foreign(StopOrder(run.task, run.attempt), need, "not wanted")
 
 
--- a/src/primrosehub/services/names/cluster.py
+++ b/src/primrosehub/services/names/cluster.py
@@ -104,9 +104,8 @@
     def confirmed_by_store_at(self) -> float:
         """Return when the last store call that confirmed this ownership was sent."""
 
-    @property
-    def may_order(self) -> bool:
-        """Tell whether the ownership was confirmed recently enough to send orders."""
+    def may_order(self, epoch: int) -> bool:
+        """Tell whether this epoch was confirmed recently enough to send orders."""
 
     def commit(self, transaction: RowsTransaction) -> None:
         """Apply an owner's transaction once; raise OwnershipLost or StoreRefused."""
@@ -114,8 +113,8 @@
     def confirm(self) -> None:
         """Confirm the ownership from the store now."""
 
-    def deposed(self, reason: str) -> None:
-        """Take note that a higher epoch exists."""
+    def deposed(self, epoch: int, reason: str) -> None:
+        """Take note that an epoch higher than this one exists."""
 
     def release(self) -> None:
         """Give the ownership up, so that a peer takes over at once."""
--- a/src/primrosehub/services/ownership.py
+++ b/src/primrosehub/services/ownership.py
@@ -106,10 +106,9 @@
         """Return when the last store call that confirmed the ownership was sent."""
         return self._confirmed_at
 
-    @property
-    def may_order(self) -> bool:
-        """Tell whether the ownership was confirmed recently enough to send orders."""
-        if not self._leading:
+    def may_order(self, epoch: int) -> bool:
+        """Tell whether this epoch was confirmed recently enough to send orders."""
+        if not self._leading or epoch != self._row.epoch:
             return False
         if steady_s() - self._confirmed_at < TRUST_S:
             return True
@@ -143,11 +142,11 @@
         if (row.epoch, row.incarnation) == (self._row.epoch, self._row.incarnation):
             self._confirmed_at = max(self._confirmed_at, sent)
         elif row.epoch > self._row.epoch:
-            self.deposed(f"the store names epoch {row.epoch}")
+            self.deposed(self._row.epoch, f"the store names epoch {row.epoch}")
 
-    def deposed(self, reason: str) -> None:
-        """Take note that a higher epoch exists."""
-        if self._leading:
+    def deposed(self, epoch: int, reason: str) -> None:
+        """Take note that an epoch higher than this one exists."""
+        if self._leading and epoch == self._row.epoch:
             self._leading = False
             log("ownership_lost", epoch=self._row.epoch, reason=reason)
             self._metrics.gauge("leading", 0)
@@ -231,7 +230,7 @@
             case TransactionConflicted(rows):
                 stored = next((one for one in rows if one.key == OWNER_KEY), None)
                 if stored is None or _decode(stored) != row:
-                    self.deposed(f"the store holds {_decode(stored)}")
+                    self.deposed(self._row.epoch, f"the store holds {_decode(stored)}")
                     raise OwnershipLost("the row of ownership has changed")
                 self._row, self._version = row, stored.version
         self._confirmed_at = max(self._confirmed_at, sent)
@@ -253,7 +252,10 @@
     def _check_own(self) -> None:
         for pong in self._peering.heard(TRUST_S):
             if pong.owner.epoch > self._row.epoch:
-                self.deposed(f"{pong.sender.name} knows epoch {pong.owner.epoch}")
+                self.deposed(
+                    self._row.epoch,
+                    f"{pong.sender.name} knows epoch {pong.owner.epoch}",
+                )
                 return
         if steady_s() - self._confirmed_at > CONFIRM_S:
             self.confirm()
@@ -275,8 +277,10 @@
         else:
             delay += SILENCE_S
         if now - self._silent_since >= delay:
+            believed = self._row
             self._reread()
-            if not self._owner_lives(pongs, now):
+            # Another owner than the silent one gets its own time to be heard.
+            if self._row == believed or not self._row.incarnation:
                 self._take_over()
 
     def _learn(self, pong: Pong) -> None:
--- a/src/primrosehub_standins/worker_host.py
+++ b/src/primrosehub_standins/worker_host.py
@@ -60,6 +60,7 @@
     fail_all: bool = False
     hang_all: bool = False
     draining: bool = False
+    stop_s: float = STOP_S
     refusals: list[str] = field(default_factory=list)
     tickets: bool = False
     _runs: dict[str, _Run] = field(default_factory=dict)
@@ -167,7 +168,7 @@
         self._highest[task] = max(attempt, self._highest.get(task, 0))
         run = self._runs.get(task)
         if run is not None and run.attempt == attempt:
-            gevent.spawn_later(STOP_S, self._end, run, "stopped", self._life)
+            gevent.spawn_later(self.stop_s, self._end, run, "stopped", self._life)
         return "200 OK", {}
 
     def _hold(self, body: Any) -> tuple[str, dict[str, Any]]:
--- a/testing/hub/test_failures.py
+++ b/testing/hub/test_failures.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from primrosehub.services.names import cluster
 from primrosehub_standins.hub_cell import PREFIX, HubCell, overlaps
 from primrosehub_standins.row_store import DoorState
 
@@ -82,6 +83,17 @@
     stopping.join()
 
 
+def test_a_refusal_of_an_earlier_epochs_order_ends_no_later_term(start_hubs):
+    cell = start_hubs()
+    leader = cell.leader()
+    ownership = leader.kernel.find(cluster.OWNERSHIP)
+    epoch = ownership.seen.epoch
+    ownership.deposed(epoch - 1, "an order of an earlier epoch was refused")
+    assert leader.leading
+    assert ownership.may_order(epoch)
+    assert not ownership.may_order(epoch - 1)
+
+
 def test_an_unanswered_start_is_settled_before_the_task_starts_elsewhere(start_hubs):
     cell = start_hubs()
     for host in cell.hosts:
@@ -150,6 +162,24 @@
     cell.wait_for(follower(cell), job, "cancelled")
 
 
+def test_room_of_a_cancelled_task_that_still_runs_is_counted_by_a_new_owner(start_hubs):
+    cell = start_hubs(hubs=3, hosts=1)
+    leader = cell.leader()
+    wide = {"count": 1, "cpu": 6000, "mem-mb": 64}
+    job = cell.submit(leader, wide, spec="last")
+    cell.until(lambda: cell.starts(job), "the job did not start")
+    cell.hosts[0].stop_s = 4.0
+    assert cell.call(leader, "DELETE", PREFIX + job).status == 200
+    cell.until(lambda: cell.state(leader, job) == "cancelled", "not cancelled")
+    leader.kill()
+    heir = cell.leader()
+    later = cell.submit(heir, wide)
+    cell.wait_for(heir, later, "completed")
+    (stopped,) = (e for e in cell.journal if e.what in ("stopped", "lapsed"))
+    (started,) = cell.starts(later)
+    assert started.at >= stopped.at
+
+
 def test_a_submission_sent_twice_is_one_job(start_hubs):
     cell = start_hubs()
     job = cell.new_id()
--- a/testing/kernel/test_kernel.py
+++ b/testing/kernel/test_kernel.py
@@ -2,9 +2,10 @@
 from contextlib import ExitStack
 from pathlib import Path
 
+import gevent
 import pytest
 
-from primrosehub.kernel import Kernel, ServiceName
+from primrosehub.kernel import Kernel, ServiceName, TaskGroup
 
 SOURCE = Path(__file__).parents[2] / "src" / "primrosehub"
 
@@ -52,6 +53,45 @@
     assert kernel.failed
 
 
+def test_a_closed_group_runs_nothing_that_is_spawned_later():
+    events = []
+    group = TaskGroup(lambda name, error: None)
+    group.close()
+    group.spawn("late", events.append, "ran")
+    gevent.sleep(0.01)
+    assert events == []
+
+
+def test_a_task_that_closes_its_own_group_ends_at_its_next_wait():
+    events = []
+    group = TaskGroup(lambda name, error: None)
+
+    def close_and_wait():
+        group.close()
+        events.append("closed")
+        gevent.sleep(0.01)
+        events.append("went on")
+
+    group.spawn("closer", close_and_wait)
+    gevent.sleep(0.05)
+    assert events == ["closed"]
+
+
+def test_a_lasting_task_runs_again_after_an_error_until_it_returns():
+    events = []
+    group = TaskGroup(lambda name, error: None)
+
+    def fail_once():
+        events.append("ran")
+        if len(events) == 1:
+            raise ValueError("once")
+
+    group.spawn_lasting("lasting", fail_once)
+    gevent.sleep(0.5)
+    group.close()
+    assert events == ["ran", "ran"]
+
+
 def imports_of(path):
     for node in ast.walk(ast.parse(path.read_text())):
         if isinstance(node, ast.ImportFrom) and node.module:
--- a/testing/protocol/test_job_book.py
+++ b/testing/protocol/test_job_book.py
@@ -139,3 +139,11 @@
     accepted = an_accepted_job(occurrences=3, first_due_ms=1000, interval_ms=500)
     book.add(accepted, a_queue(), None, 0.0, False)
     assert [step.due_ms for step in book.open_steps.values()] == [1000, 1500, 2000]
+
+
+def test_the_need_of_a_task_is_known_after_its_job_has_ended():
+    progress = JobProgress(state=JobState.CANCELLED)
+    book = a_book(a_step(cpu_m=3000), progress=progress, taken_over=True)
+    assert book.task(a_task_id()) is None
+    assert book.need_of(a_task_id()).cpu_m == 3000
+    assert book.need_of(a_task_id(job="0000000000000000")) is None
