--- a/src/primrosehub/border/hub_settings.py
+++ b/src/primrosehub/border/hub_settings.py
@@ -29,11 +29,7 @@
     grace_s: Seconds = 6
     host_drain_ms: Millis = 2_000
     max_lease_ms: Millis = 10_000
-    gang_timeout_ms: Millis = 3_000
     stop_timeout_ms: Millis = 200
-    status_s: Seconds = 120
-    rack_penalty: Annotated[float, Field(ge=1, le=1000)] = 3
-    restore_ms: Millis = 250
 
 
 class HubSettings(_Model):
--- a/src/primrosehub/core/clusterconfig.py
+++ b/src/primrosehub/core/clusterconfig.py
@@ -1,4 +1,4 @@
-"""The operators' configuration: queues, teams, services and limits."""
+"""The operators' configuration: queues, teams and limits."""
 
 from __future__ import annotations
 
@@ -33,18 +33,6 @@
     advice: AdviceCost | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ServicePool:
-    """Hold a service's pool of worker hosts.
-
-    ``guards_room`` pools refuse what does not fit. A ``standby`` pool is off.
-    """
-
-    name: str
-    guards_room: bool
-    standby: bool
-
-
 @dataclass(frozen=True, slots=True)
 class TeamEntitlement:
     """Hold a team's share and limit; ``limit`` 0 of a resource means no limit."""
@@ -60,7 +48,6 @@
 
     version: int = 0
     queues: tuple[Queue, ...] = ()
-    services: dict[str, ServicePool] = field(default_factory=dict)
     teams: dict[str, TeamEntitlement] = field(default_factory=dict)
     team_of_key: dict[str, str] = field(default_factory=dict)
     max_body_bytes: int = 262_144
--- a/src/primrosehub/platform/operator.py
+++ b/src/primrosehub/platform/operator.py
@@ -8,7 +8,6 @@
     AdviceCost,
     ClusterConfig,
     Queue,
-    ServicePool,
     TeamEntitlement,
 )
 from primrosehub.platform import wire
@@ -35,12 +34,6 @@
     recommendation: _Advice | None = None
 
 
-class _Service(wire.WireModel):
-    name: str
-    enforce_capacity: bool = False
-    standby: bool = False
-
-
 class _Tenant(wire.WireModel):
     name: str
     api_keys: list[str] = []
@@ -56,7 +49,6 @@
 class _Config(wire.WireModel):
     version: int
     routes: list[_Route] = []
-    services: list[_Service] = []
     tenants: list[_Tenant] = []
     limits: _Limits = _Limits()
 
@@ -70,10 +62,6 @@
     return ClusterConfig(
         version=config.version,
         queues=tuple(_queue(route) for route in config.routes),
-        services={
-            item.name: ServicePool(item.name, item.enforce_capacity, item.standby)
-            for item in config.services
-        },
         teams={
             item.name: TeamEntitlement(
                 item.name, item.weight, decode_amount(item.max_count)
--- a/src/primrosehub/platform/wire.py
+++ b/src/primrosehub/platform/wire.py
@@ -8,7 +8,6 @@
 STOP = "/primrosehub/run-stop"
 # Renews the lease of all that runs on a host and lists it.
 HOLD = "/primrosehub/hold"
-PACE = "/primrosehub/pace"
 ADVISE = "/primrosehub/advise"
 READY = "/primrosehub/readyz"
 ROWS_TX = "/primrosehub/rows-tx"
--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -10,7 +10,6 @@
 from gevent.queue import Queue
 
 from primrosehub.core.fleet import (
-    HostReport,
     OrderDone,
     OrderNotSent,
     OrderRefused,
@@ -104,7 +103,6 @@
         self._clock: _Clock | None = None
         self._lease_until_ms = 0
         self._orders: Queue = Queue()
-        self._opened_at = steady_s()
         self._silent_since = steady_s()
         self._unhealthy_until = 0.0
 
@@ -203,7 +201,7 @@
         lease_until_ms = 0
         # A host that does not answer may still hear: its lease must be let run out.
         if self._clock is not None and self.answering:
-            lease_until_ms = self._clock.latest_ms(sent) + int(LEASE_S * 1000)
+            lease_until_ms = self._clock.latest_ms(sent) + self._term.lease_ms
             self._lease_until_ms = max(self._lease_until_ms, lease_until_ms)
         report = self.client.hold(
             self.durable_end, lease_until_ms, wait_s, wait_s + REPORT_TIMEOUT_S
@@ -363,10 +361,3 @@
         "task": task.id.index,
         "attempt": task.attempt,
     }
-
-
-def report_lists(report: HostReport, task: TaskRun) -> bool:
-    """Tell whether a report shows the task's attempt as running."""
-    return any(
-        run.task == task.id and run.attempt == task.attempt for run in report.running
-    )
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -50,6 +50,8 @@
         self.config = kernel.find(CLUSTER_CONFIG)
         self.advising = kernel.find(ADVISING)
         self.metrics = kernel.find(METRICS)
+        longest_ms = kernel.settings.bounds.max_lease_ms
+        self.lease_ms = min(int(LEASE_S * 1000), longest_ms)
         self.drain_s = kernel.settings.bounds.host_drain_ms / 1000
         self.stop_timeout_s = kernel.settings.bounds.stop_timeout_ms / 1000
         self.book = JobBook(epoch)
--- a/src/primrosehub/services/names/cluster.py
+++ b/src/primrosehub/services/names/cluster.py
@@ -71,9 +71,6 @@
     def heard(self, within_s: float) -> Sequence[Pong]:
         """Return the last pong of each peer that answered within the time."""
 
-    def card_of(self, incarnation: str) -> PeerCard | None:
-        """Return the card of a living or dead incarnation, if it was ever heard."""
-
     def watch_closely(self, name: str) -> None:
         """Ping this peer at the short period, and no peer watched so before."""
 
--- a/src/primrosehub/services/peering.py
+++ b/src/primrosehub/services/peering.py
@@ -96,7 +96,6 @@
             power=settings.cpu_share * settings.cores,
         )
         self._peers: dict[str, _Peer] = {}
-        self._cards: dict[str, PeerCard] = {}
         self._watched = ""
         self._answers: dict[type, Callable[..., PeerMessage]] = {
             Ping: self._pong,
@@ -152,10 +151,6 @@
             if peer.last is not None and peer.heard_at >= since
         ]
 
-    def card_of(self, incarnation: str) -> PeerCard | None:
-        """Return the card of a living or dead incarnation, if it was ever heard."""
-        return self._cards.get(incarnation)
-
     def watch_closely(self, name: str) -> None:
         """Ping this peer at the short period."""
         if name != self._watched:
@@ -213,7 +208,6 @@
     def _meet(self, card: PeerCard) -> None:
         if card.name == self._me.name:
             return
-        self._cards[card.incarnation] = card
         peer = self._peers.get(card.name)
         if peer is None:
             self._peers[card.name] = _Peer(card)
