--- a/testing/hub/test_failures.py
+++ b/testing/hub/test_failures.py
@@ -56,6 +56,24 @@
         assert len(cell.starts(job)) == 1
 
 
+def test_work_on_a_host_that_a_new_owner_can_not_reach_starts_nowhere_else(start_hubs):
+    cell = start_hubs(hubs=3)
+    leader = cell.leader()
+    jobs = [
+        cell.submit(leader, {"count": 1, "cpu": 5000}, spec="run 6") for _ in range(3)
+    ]
+    cell.until(lambda: len(cell.journal) == 3, "the jobs did not start")
+    cell.hosts[0].silent = True
+    leader.kill()
+    heir = cell.leader()
+    gevent.sleep(2.0)
+    assert len(cell.journal) == 3
+    cell.hosts[0].silent = False
+    for job in jobs:
+        cell.wait_for(heir, job, "completed", 15.0)
+        assert len(cell.starts(job)) == 1
+
+
 def test_a_job_is_shown_as_completed_after_all_daemons_lost_power(start_hubs):
     cell = start_hubs()
     job = cell.submit(cell.leader(), spec="run 1")
@@ -95,12 +113,13 @@
 
 
 def test_an_unanswered_start_is_settled_before_the_task_starts_elsewhere(start_hubs):
-    cell = start_hubs()
+    cell = start_hubs(hosts=2)
     for host in cell.hosts:
-        host.late_starts, host.late_s = 1, 1.0
-    jobs = [cell.submit(cell.leader(), spec="run 0.3") for _ in range(6)]
-    for job in jobs:
-        cell.wait_for(cell.leader(), job, "completed")
+        host.late_starts, host.late_s, host.stop_s = 2, 1.0, 1.0
+    whole_host = {"count": 1, "cpu": 8000, "mem-mb": 64}
+    job = cell.submit(cell.leader(), whole_host, spec="run 3")
+    cell.wait_for(cell.leader(), job, "completed", 20.0)
+    assert len(cell.starts(job)) > 1
 
 
 def test_a_start_whose_answer_is_lost_runs_once(start_hubs):
@@ -115,6 +134,8 @@
 
 def test_a_host_that_starts_again_under_its_id_gets_the_work_anew(start_hubs):
     cell = start_hubs(hosts=1)
+    before = cell.submit(cell.leader())
+    cell.wait_for(cell.leader(), before, "completed")
     job = cell.submit(cell.leader(), spec="run 1")
     cell.until(lambda: cell.starts(job), "the job did not start")
     cell.hosts[0].crash()
--- /dev/null
+++ b/testing/protocol/test_insert_batch.py
@@ -0,0 +1,94 @@
+import gevent
+import pytest
+
+from primrosehub.core.rows import (
+    RowKey,
+    StoredRow,
+    StoreRefused,
+    StoreUnknown,
+    TransactionApplied,
+    TransactionConflicted,
+)
+from primrosehub.services._insert_batch import InsertBatch, Inserted, NotInserted
+
+
+class FakeStore:
+    """Keep inserted rows; ``failures`` are raised one a commit, after it if late."""
+
+    def __init__(self, *failures):
+        self.rows = {}
+        self.sizes = []
+        self.failures = list(failures)
+
+    def commit(self, transaction):
+        gevent.sleep(0.01)
+        failure = self.failures.pop(0) if self.failures else None
+        if isinstance(failure, StoreRefused):
+            raise failure
+        self.sizes.append(len(transaction.writes))
+        taken = [e.key for e in transaction.expects if e.key in self.rows]
+        if taken:
+            rows = tuple(StoredRow(key, self.rows[key], 1) for key in taken)
+            return TransactionConflicted(rows)
+        self.rows.update({write.key: write.value for write in transaction.writes})
+        if failure is not None:
+            raise failure
+        return TransactionApplied(1)
+
+
+@pytest.fixture
+def insert():
+    tasks = []
+
+    def start(store, *ids, value=b"new", refuse_s=0.2, give_up_s=0.6):
+        batch = InsertBatch(store)
+        tasks.append(gevent.spawn(batch.run))
+        calls = [
+            gevent.spawn(batch.insert, key_of(name), value, refuse_s, give_up_s)
+            for name in ids
+        ]
+        gevent.joinall(calls)
+        return [call.value for call in calls]
+
+    yield start
+    gevent.killall(tasks)
+
+
+def key_of(name):
+    return RowKey("job", "hub-1", name)
+
+
+def test_rows_that_arrive_together_share_a_transaction(insert):
+    store = FakeStore()
+    assert insert(store, "a", "b", "c") == [Inserted(None)] * 3
+    assert store.sizes == [3]
+
+
+def test_a_row_that_stood_there_before_is_told_and_stops_no_other(insert):
+    store = FakeStore()
+    store.rows[key_of("a")] = b"old"
+    assert insert(store, "a", "b") == [Inserted(b"old"), Inserted(None)]
+
+
+def test_an_insert_whose_answer_is_lost_is_found_again(insert):
+    store = FakeStore(StoreUnknown("lost"))
+    assert insert(store, "a") == [Inserted(b"new")]
+    assert store.rows == {key_of("a"): b"new"}
+
+
+def test_a_refused_insert_is_told_as_surely_not_stored(insert):
+    store = FakeStore(*[StoreRefused("busy") for _ in range(20)])
+    (result,) = insert(store, "a")
+    assert result == NotInserted(False, "busy")
+    assert store.rows == {}
+
+
+def test_an_insert_in_doubt_is_never_told_as_surely_not_stored(insert):
+    store = FakeStore(StoreUnknown("lost"), *[StoreRefused("busy") for _ in range(20)])
+    (result,) = insert(store, "a")
+    assert result.unknown
+
+
+def test_the_same_row_twice_in_one_batch_is_stored_once(insert):
+    store = FakeStore()
+    assert insert(store, "a", "a") == [Inserted(None), Inserted(b"new")]
