--- /dev/null
+++ b/bench/take_over.py
@@ -0,0 +1,81 @@
+"""Measure how long no task starts after the hub daemon that owns the jobs dies."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys  # noqa: E402
+
+import defopt  # noqa: E402
+import gevent  # noqa: E402
+import orjson  # noqa: E402
+
+from primrosehub.kernel.clock import steady_s  # noqa: E402
+from primrosehub_standins.hub_cell import HubCell  # noqa: E402
+
+SUBMIT_EVERY_S = 0.1
+REST_S = 2.0  # between a take-over and the next kill
+
+
+def measure(*, kills: int = 20, hubs: int = 4, hosts: int = 8) -> int:
+    """Kill the owner again and again while jobs arrive; print JSON.
+
+    :param kills: how often to kill the owner
+    :param hubs: hub daemons
+    :param hosts: worker hosts
+    """
+    waits = []
+    with HubCell(hubs=hubs, hosts=hosts) as cell:
+        cell.leader()
+        gevent.sleep(REST_S)
+        load = gevent.spawn(_submit, cell)
+        for _ in range(kills):
+            waits.append(_kill_once(cell))
+        load.kill()
+    waits.sort()
+    result = {
+        "kills": kills,
+        "hubs": hubs,
+        "hosts": hosts,
+        "p50_s": round(waits[len(waits) // 2], 2),
+        "max_s": round(waits[-1], 2),
+    }
+    print(orjson.dumps(result).decode())
+    return 0
+
+
+def _kill_once(cell: HubCell) -> float:
+    leader = cell.leader()
+    leader.kill()
+    killed_at = steady_s()
+    heir = cell.leader()
+    cell.until(
+        lambda: any(
+            event.what == "start" and event.at > killed_at for event in cell.journal
+        ),
+        "nothing started again",
+    )
+    started_at = min(
+        event.at
+        for event in cell.journal
+        if event.what == "start" and event.at > killed_at
+    )
+    leader.start()
+    gevent.sleep(REST_S)
+    assert heir.kernel is not None
+    return started_at - killed_at
+
+
+def _submit(cell: HubCell) -> None:
+    while True:
+        for hub in cell.hubs:
+            if hub.kernel is not None:
+                try:
+                    cell.submit(hub)
+                except Exception as error:  # noqa: BLE001 - a killed daemon refuses
+                    print(f"not accepted: {error}", file=sys.stderr)
+                gevent.sleep(SUBMIT_EVERY_S)
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(measure))
