Answer what was read before the process ends

Change: the listener closes first, then up to 1 s for requests in flight. Result: the new test fails before (1 request in flight at the end) and passes after.

--- a/src/primrosehub/services/caller_front.py
+++ b/src/primrosehub/services/caller_front.py
@@ -19,6 +19,7 @@
 from primrosehub.services.names.cluster import CLUSTER_CONFIG, INTAKE
 
 DEFAULT_WAIT_S = 3.0  # of callers that do not say how long they wait
+FINISH_S = 1.0  # for requests read while the daemon closes; within its grace period
 RETRY_AFTER_S = 1  # told with each refusal; outages of the store last seconds
 
 
@@ -49,7 +50,7 @@
             backlog=512,
         )
         server.start()
-        stack.callback(server.stop, 0.5)
+        stack.callback(self._close, server)
 
     def drain(self, quiet_s: float, limit_s: float) -> None:
         """Wait until no request came for a while, or the limit has passed."""
@@ -62,6 +63,13 @@
             elif steady_s() - quiet_since > quiet_s:
                 return
 
+    def _close(self, server: WSGIServer) -> None:
+        """Take no more connections, and answer what was read on the open ones."""
+        server.stop(0)
+        until = steady_s() + FINISH_S
+        while self._in_flight and steady_s() < until:
+            gevent.sleep(0.02)
+
     def _answer(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
--- a/src/primrosehub/services/hub_ops.py
+++ b/src/primrosehub/services/hub_ops.py
@@ -43,7 +43,7 @@
                 handler_class=PromptHandler,
             )
             server.start()
-            stack.callback(server.stop, 0.2)
+            stack.callback(server.stop, 0)
 
     def _answer(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
--- a/testing/hub/test_failures.py
+++ b/testing/hub/test_failures.py
@@ -101,6 +101,23 @@
     stopping.join()
 
 
+def test_a_request_that_was_read_is_answered_while_the_daemon_closes(start_hubs):
+    cell = start_hubs()
+    hub = follower(cell)
+    hub.door.state = DoorState.SILENT
+    body = b'{"spec":"run 0.1","phases":[{"count":1}]}'
+    wait = {"Primrosehub-Deadline-Ms": "1500"}
+    path = PREFIX + cell.new_id()
+    front = hub.kernel.find(cluster.CALLER_FRONT)
+    request = gevent.spawn(cell.call, hub, "POST", path, body, **wait)
+    cell.until(lambda: front.in_flight == 1, "the request was not read")
+    hub.kill()
+    # With the end of this call a real daemon's process ends.
+    assert front.in_flight == 0
+    request.join()
+    assert request.value.status in (503, 504)
+
+
 def test_a_refusal_of_an_earlier_epochs_order_ends_no_later_term(start_hubs):
     cell = start_hubs()
     leader = cell.leader()
