--- a/src/primrosehub/binaries/hub.py
+++ b/src/primrosehub/binaries/hub.py
@@ -88,13 +88,15 @@
     if check:
         print(f"{path}: the settings are valid")
         return 0
-    log_to_stdout()
+    flush_logs = log_to_stdout()
     kernel = Kernel(values)
     for name, factory in MANIFEST:
         kernel.load(name, factory)
     log("starting", daemon=values.name, zone=values.zone)
     gevent.signal_handler(signal.SIGHUP, _reload, path, kernel)
-    return kernel.run(lambda: leave(kernel))
+    code = kernel.run(lambda: leave(kernel))
+    flush_logs()
+    return code
 
 
 def main() -> None:
--- a/src/primrosehub/core/logs.py
+++ b/src/primrosehub/core/logs.py
@@ -4,6 +4,7 @@
 
 import sys
 from collections import deque
+from collections.abc import Callable
 from typing import Any, TextIO
 
 import eliot
@@ -33,14 +34,16 @@
     eliot.add_destinations(write)
 
 
-def log_to_stdout() -> None:
+def log_to_stdout() -> Callable[[], None]:
     """Send all events to stdout without ever waiting for its reader.
 
     Lines beyond a bound are dropped and counted in the next line that is written.
+    Return a function that writes what is pending, for the end of the process.
     """
     writer = _StdoutWriter(sys.stdout.fileno())
     eliot.add_destinations(writer.add)
     gevent.spawn(writer.run)
+    return writer.flush
 
 
 class _StdoutWriter:
@@ -67,11 +70,19 @@
             self._wake.wait()
             gevent.sleep(FLUSH_S)
             self._wake.clear()
-            if self._dropped:
-                self._lines.append(f"event=log_lines_dropped count={self._dropped}\n")
-                self._dropped = 0
-            while self._lines:
-                self._write(self._next_block())
+            self._write_pending()
+
+    def flush(self) -> None:
+        """Write what is pending, for a short time at most."""
+        with gevent.Timeout(FLUSH_S, False):
+            self._write_pending()
+
+    def _write_pending(self) -> None:
+        if self._dropped:
+            self._lines.append(f"event=log_lines_dropped count={self._dropped}\n")
+            self._dropped = 0
+        while self._lines:
+            self._write(self._next_block())
 
     def _next_block(self) -> bytes:
         """Return whole lines that a pipe takes in one piece, at least one line."""
--- a/src/primrosehub/services/caller_front.py
+++ b/src/primrosehub/services/caller_front.py
@@ -29,6 +29,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._in_flight = 0
+        self._answered_at = float("-inf")
 
     @property
     def in_flight(self) -> int:
@@ -55,12 +56,9 @@
     def drain(self, quiet_s: float, limit_s: float) -> None:
         """Wait until no request came for a while, or the limit has passed."""
         until = steady_s() + limit_s
-        quiet_since = steady_s()
         while steady_s() < until:
             gevent.sleep(0.05)
-            if self._in_flight:
-                quiet_since = steady_s()
-            elif steady_s() - quiet_since > quiet_s:
+            if not self._in_flight and steady_s() - self._answered_at > quiet_s:
                 return
 
     def _close(self, server: WSGIServer) -> None:
@@ -79,6 +77,7 @@
             answer = self._handle(environ, began)
         finally:
             self._in_flight -= 1
+            self._answered_at = steady_s()
         headers = answer.headers
         if self._kernel.stopping.is_set():
             headers = [*headers, ("Connection", "close")]
--- a/testing/hub/test_failures.py
+++ b/testing/hub/test_failures.py
@@ -1,5 +1,7 @@
 """Whole daemons against stand-ins of the platform, with faults."""
 
+import socket
+
 import gevent
 import pytest
 
@@ -101,6 +103,19 @@
     stopping.join()
 
 
+def test_a_stopping_daemon_closes_each_connection_after_its_answer(start_hubs):
+    cell = start_hubs()
+    hub = follower(cell)
+    hub.kernel.stopping.set()
+    ip, _, port = hub.settings.callers.rpartition(":")
+    with socket.create_connection((ip, int(port)), timeout=5) as sock:
+        sock.sendall(b"GET /nowhere HTTP/1.1\r\nHost: nowhere\r\n\r\n")
+        answer = b""
+        while data := sock.recv(4096):
+            answer += data
+    assert answer.startswith(b"HTTP/1.1 404")
+
+
 def test_a_request_that_was_read_is_answered_while_the_daemon_closes(start_hubs):
     cell = start_hubs()
     hub = follower(cell)
