Count an owner's silence once, and succeed one that refuses connections

Cause: _check_owner waited for the silence of the owner a second time after peers had confirmed it, counted a pong's age from its last reading, and gave a row whose write number had grown another full wait, as it compared whole rows. Ruled out: loading rows and listing hosts (40 ms of the wait). Change: policy/succession.py judges from the last sign of life anywhere, its age included; two refused connections show that no process listens; a daemon that was itself frozen counts silence from its waking.

--- a/src/primrosehub/border/frames.py
+++ b/src/primrosehub/border/frames.py
@@ -21,6 +21,10 @@
     """Say that a call had no whole answer."""
 
 
+class CallRefused(CallFailed):
+    """Say that nothing listens at the address."""
+
+
 class FrameClient:
     """Call one peer over a connection that is kept while it answers."""
 
@@ -37,6 +41,8 @@
                     self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 _send(self._sock, body)
                 return _receive(self._sock)
+        except ConnectionRefusedError as error:
+            raise CallRefused(str(error)) from None
         except (OSError, EOFError, gevent.Timeout) as error:
             self.close()
             raise CallFailed(str(error) or "no answer in time") from None
--- a/src/primrosehub/core/peering.py
+++ b/src/primrosehub/core/peering.py
@@ -35,6 +35,16 @@
     heard_s: float = 1e9
 
 
+@dataclass(frozen=True, slots=True)
+class OwnerRow:
+    """Hold the row of ownership; an empty incarnation means vacant."""
+
+    epoch: int
+    incarnation: str
+    name: str
+    number: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Ping:
     """Say that the sender is alive and what it believes."""
@@ -59,6 +69,14 @@
     slow: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """Hold what a peer last said of itself, and how long ago."""
+
+    pong: Pong
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class AskMembers:
     """Ask which daemons the receiver knows."""
--- /dev/null
+++ b/src/primrosehub/policy/succession.py
@@ -0,0 +1,114 @@
+"""Whether the owner of the jobs is gone, and when this daemon takes its place."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from primrosehub.core.peering import Heard, OwnerRow, PeerCard
+
+# Three pings of 0.3 s; a third of the 3 s that users allow for a take-over.
+SILENCE_S = 1.0
+# Two refused connections in a row, as one may fall into a change of the address.
+REFUSED_S = 0.15
+# A candidate needs some 20 ms to write the row; the rest is for slow processors.
+RANK_DELAY_S = 0.4
+# A candidate whose place is only due to a late ping lets the first one go ahead.
+VACANT_DELAY_S = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerLives:
+    """Say that the owner was heard recently, here or by a peer."""
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerSilent:
+    """Say that nobody who can be asked has heard the owner for a time."""
+
+    silence_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerGone:
+    """Say that the owner surely no longer runs, or has given the ownership up."""
+
+
+@dataclass(frozen=True, slots=True)
+class OwnView:
+    """Hold what this daemon knows of the owner by itself.
+
+    ``heard_s`` is the age of the owner's last sign of life here, at most the time
+    since this owner became known. ``refused_s`` is how long connections to it have
+    been refused, 0 while they are not.
+    """
+
+    me: PeerCard
+    heard_s: float
+    refused_s: float = 0.0
+
+
+Verdict = OwnerLives | OwnerSilent | OwnerGone
+
+
+def same_owner(row: OwnerRow, other: OwnerRow) -> bool:
+    """Tell whether two rows name the same term; the number of writes may differ."""
+    return (row.epoch, row.incarnation) == (other.epoch, other.incarnation)
+
+
+def judge_owner(row: OwnerRow, view: OwnView, heard: Sequence[Heard]) -> Verdict:
+    """Tell from all that was heard whether the owner lives."""
+    if not row.incarnation or row.name == view.me.name:
+        return OwnerGone()
+    if any(_replaces(news, row) for news in heard):
+        return OwnerGone()
+    if view.refused_s >= REFUSED_S:
+        return OwnerGone()
+    silence_s = min(
+        [view.heard_s, *(_silence_told(news, row) for news in heard)],
+    )
+    return OwnerLives() if silence_s < SILENCE_S else OwnerSilent(silence_s)
+
+
+def take_over_after_s(verdict: Verdict, place: int) -> float | None:
+    """Return how long this verdict has to last before a take-over, None for never."""
+    match verdict:
+        case OwnerLives():
+            return None
+        case OwnerSilent():
+            return place * RANK_DELAY_S
+        case OwnerGone():
+            return place * RANK_DELAY_S + (VACANT_DELAY_S if place else 0.0)
+
+
+def place_among(me: PeerCard, able: bool, row: OwnerRow, heard: Sequence[Heard]) -> int:
+    """Return this daemon's place among the candidates, counted from 0.
+
+    The strongest comes first. A daemon that is not able, being slow or turned away by
+    the store, comes after all others.
+    """
+    others = [
+        news.pong.sender
+        for news in heard
+        if news.pong.store_reached
+        and not news.pong.leaving
+        and not news.pong.slow
+        and news.pong.sender.incarnation != row.incarnation
+    ]
+    ranked = sorted([me, *others], key=lambda card: (-card.power, card.name))
+    return ranked.index(me) + (0 if able else len(others))
+
+
+def _replaces(news: Heard, row: OwnerRow) -> bool:
+    sender = news.pong.sender
+    return sender.name == row.name and sender.incarnation != row.incarnation
+
+
+def _silence_told(news: Heard, row: OwnerRow) -> float:
+    """Return for how long the owner has been silent by what a peer said."""
+    pong = news.pong
+    if pong.owner.incarnation != row.incarnation:
+        return float("inf")
+    if pong.sender.incarnation == row.incarnation:
+        return news.age_s
+    return news.age_s + pong.owner.heard_s
--- a/src/primrosehub/services/names/cluster.py
+++ b/src/primrosehub/services/names/cluster.py
@@ -8,7 +8,7 @@
 from primrosehub.core.batch import AcceptedJob, BatchSpec, JobState
 from primrosehub.core.clusterconfig import ClusterConfig
 from primrosehub.core.fleet import Advice
-from primrosehub.core.peering import OwnerSeen, PeerCard, PeerMessage, Pong
+from primrosehub.core.peering import Heard, OwnerSeen, PeerCard, PeerMessage, Pong
 from primrosehub.core.rows import (
     RowKey,
     RowsOutcome,
@@ -71,6 +71,12 @@
     def heard(self, within_s: float) -> Sequence[Pong]:
         """Return the last pong of each peer that answered within the time."""
 
+    def news(self, within_s: float) -> Sequence[Heard]:
+        """Return the same with ages, without peers that refuse connections by now."""
+
+    def refused_s(self, name: str) -> float:
+        """Return for how long a peer has refused connections, 0 if it does not."""
+
     def watch_closely(self, name: str) -> None:
         """Ping this peer at the short period, and no peer watched so before."""
 
--- a/src/primrosehub/services/ownership.py
+++ b/src/primrosehub/services/ownership.py
@@ -8,7 +8,7 @@
 
 import time
 from contextlib import ExitStack
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import gevent
 from gevent.event import Event
@@ -16,7 +16,7 @@
 
 from primrosehub.border.codec import decode, encode
 from primrosehub.core.logs import log
-from primrosehub.core.peering import OwnerSeen, Pong
+from primrosehub.core.peering import Heard, OwnerRow, OwnerSeen
 from primrosehub.core.rows import (
     ABSENT,
     ExpectRow,
@@ -32,6 +32,16 @@
 from primrosehub.kernel import Kernel
 from primrosehub.kernel.clock import steady_s
 from primrosehub.policy.own_pace import OwnPace
+from primrosehub.policy.succession import (
+    SILENCE_S,
+    OwnerLives,
+    OwnView,
+    Verdict,
+    judge_owner,
+    place_among,
+    same_owner,
+    take_over_after_s,
+)
 from primrosehub.services.names import METRICS
 from primrosehub.services.names.cluster import (
     PEERING,
@@ -41,12 +51,10 @@
 )
 
 CHECK_S = 0.1
-SILENCE_S = 1.0  # an owner unheard for this long is taken to be dead
-RANK_DELAY_S = 0.4  # between candidates, so that the first one mostly wins
-VACANT_DELAY_S = 0.15
 TRUST_S = 2.0  # orders go out only within this time of a confirmation
 CONFIRM_S = 0.7
 RETRY_S = 0.1
+WOKEN_S = 0.5  # between two checks, five times what is usual
 PACE_CHECK_S = 0.3
 PACE_ROUNDS = 2000  # of a trivial loop, some tens of microseconds
 PACE_REPEATS = 3  # the fastest counts, so that an interruption does not
@@ -54,16 +62,6 @@
 OWNER_KEY = RowKey("owner", "s", "cell")
 
 
-@dataclass(frozen=True, slots=True)
-class OwnerRow:
-    """Hold the row of ownership; an empty incarnation means vacant."""
-
-    epoch: int
-    incarnation: str
-    name: str
-    number: int = 0
-
-
 class OwnershipService:
     """Watch the owner, take over from a dead one, write as the owner."""
 
@@ -74,7 +72,9 @@
         self._leading = False
         self._confirmed_at = float("-inf")
         self._owner_heard_at = float("-inf")
-        self._silent_since = steady_s()
+        self._owner_known_since = steady_s()
+        self._verdict: Verdict = OwnerLives()
+        self._verdict_since = self._checked_at = steady_s()
         self._lock = RLock()
         self._released = False
         self._pace = OwnPace()
@@ -172,7 +172,7 @@
             self._scheduler.stop_leading()
         self._leading = False
         self._metrics.gauge("leading", 0)
-        self._silent_since = steady_s()
+        self._verdict = OwnerLives()
         self._peering.ping_now()
 
     def _watch_pace(self) -> None:
@@ -261,71 +261,58 @@
             self.confirm()
 
     def _check_owner(self) -> None:
-        now = steady_s()
-        pongs = self._peering.heard(SILENCE_S)
         if self._row.epoch == 0:
             self._reread()
-        for pong in pongs:
-            self._learn(pong)
+        news = self._peering.news(SILENCE_S)
+        for heard in news:
+            self._learn(heard)
         self._peering.watch_closely(self._row.name)
-        if self._owner_lives(pongs, now):
-            self._silent_since = now
+        now = steady_s()
+        if now - self._checked_at > WOKEN_S:
+            # Frozen for a while: the owner was not silent, this daemon was deaf.
+            self._owner_known_since = now
+        self._checked_at = now
+        verdict = judge_owner(self._row, self._view(now), news)
+        if type(verdict) is not type(self._verdict):
+            self._verdict, self._verdict_since = verdict, now
+            if not isinstance(verdict, OwnerLives):
+                log("owner_missed", owner=self._row.name, verdict=verdict)
+        me, able = self._peering.me, self._store.reached_directly
+        place = place_among(me, able and not self._pace.slow, self._row, news)
+        after_s = take_over_after_s(verdict, place)
+        if after_s is None or now - self._verdict_since < after_s:
             return
-        delay = self._rank(pongs) * RANK_DELAY_S
-        if self._is_surely_gone(pongs):
-            delay += VACANT_DELAY_S if self._rank(pongs) else 0.0
-        else:
-            delay += SILENCE_S
-        if now - self._silent_since >= delay:
-            believed = self._row
-            self._reread()
-            # Another owner than the silent one gets its own time to be heard.
-            if self._row == believed or not self._row.incarnation:
-                self._take_over()
+        believed = self._row
+        self._reread()
+        # Another owner than the silent one gets its own time to be heard.
+        if same_owner(self._row, believed) or not self._row.incarnation:
+            self._take_over()
+
+    def _view(self, now: float) -> OwnView:
+        return OwnView(
+            self._peering.me,
+            now - max(self._owner_heard_at, self._owner_known_since),
+            self._peering.refused_s(self._row.name),
+        )
 
-    def _learn(self, pong: Pong) -> None:
-        owner = pong.owner
+    def _learn(self, heard: Heard) -> None:
+        owner = heard.pong.owner
         if owner.epoch > self._row.epoch or (
             owner.epoch == self._row.epoch and not owner.incarnation
         ):
             if self._row.incarnation != owner.incarnation:
                 log("owner_seen", epoch=owner.epoch, owner=owner.name, by="peer")
-            self._row = OwnerRow(owner.epoch, owner.incarnation, owner.name)
-        if self._row.incarnation and pong.sender.incarnation == self._row.incarnation:
-            self._owner_heard_at = steady_s()
-
-    def _owner_lives(self, pongs: tuple[Pong, ...] | list[Pong], now: float) -> bool:
-        incarnation = self._row.incarnation
-        if not incarnation or incarnation == self._peering.me.incarnation:
-            return False
-        for pong in pongs:
-            if pong.sender.incarnation == incarnation:
-                return pong.owner.incarnation == incarnation
-        return any(
-            pong.owner.incarnation == incarnation and pong.owner.heard_s < SILENCE_S
-            for pong in pongs
-        )
-
-    def _is_surely_gone(self, pongs: tuple[Pong, ...] | list[Pong]) -> bool:
-        row, me = self._row, self._peering.me
-        if not row.incarnation or row.name == me.name:
-            return True
-        return any(
-            pong.sender.name == row.name and pong.sender.incarnation != row.incarnation
-            for pong in pongs
-        )
-
-    def _rank(self, pongs: tuple[Pong, ...] | list[Pong]) -> int:
-        me = self._peering.me
-        others = [
-            pong.sender
-            for pong in pongs
-            if pong.store_reached and not pong.leaving and not pong.slow
-        ]
-        ranked = sorted([me, *others], key=lambda card: (-card.power, card.name))
-        able = self._store.reached_directly and not self._pace.slow
-        blocked = 0 if able else len(others)
-        return ranked.index(me) + blocked
+            self._note_owner(OwnerRow(owner.epoch, owner.incarnation, owner.name))
+        row = self._row
+        if row.incarnation and heard.pong.sender.incarnation == row.incarnation:
+            at = steady_s() - heard.age_s
+            self._owner_heard_at = max(self._owner_heard_at, at)
+
+    def _note_owner(self, row: OwnerRow) -> None:
+        if not same_owner(row, self._row):
+            self._owner_known_since = steady_s()
+            self._owner_heard_at = float("-inf")
+        self._row = row
 
     def _reread(self) -> None:
         stored = self._store.read_one(OWNER_KEY)
@@ -333,8 +320,7 @@
         self._version = stored.version if stored else ABSENT
         if row.epoch > self._row.epoch or row.incarnation != self._row.incarnation:
             log("owner_seen", epoch=row.epoch, owner=row.name, by="store")
-            self._silent_since = steady_s()
-        self._row = row
+        self._note_owner(row)
         if row.incarnation == self._peering.me.incarnation:
             self._begin(steady_s())
 
--- a/src/primrosehub/services/peering.py
+++ b/src/primrosehub/services/peering.py
@@ -11,11 +11,17 @@
 from gevent.event import Event
 
 from primrosehub.border.codec import decode, encode
-from primrosehub.border.frames import CallFailed, FrameClient, FrameServer
+from primrosehub.border.frames import (
+    CallFailed,
+    CallRefused,
+    FrameClient,
+    FrameServer,
+)
 from primrosehub.border.peer_codec import decode_message, encode_message
 from primrosehub.core.logs import log
 from primrosehub.core.peering import (
     AskMembers,
+    Heard,
     MembersAre,
     PeerCard,
     PeerMessage,
@@ -40,6 +46,7 @@
 
 PING_S = 0.3  # three lost pings are a third of the bound on a take-over
 SLOW_PING_S = 3.0  # for peers that neither own nor would soon own
+REFUSED_PING_S = 0.1  # for a watched peer that refuses, until it is surely gone
 PING_TIMEOUT_S = 0.5
 SILENT_AFTER_S = 1.0
 CLOSE_PEERS = 8  # so many of the strongest are pinged at the short period
@@ -57,6 +64,7 @@
     card: PeerCard
     last: Pong | None = None
     heard_at: float = float("-inf")
+    refused_since: float | None = None
     known_since: float = field(default_factory=steady_s)
     silent: bool = True
     wake: Event = field(default_factory=Event)
@@ -151,6 +159,24 @@
             if peer.last is not None and peer.heard_at >= since
         ]
 
+    def news(self, within_s: float) -> Sequence[Heard]:
+        """Return the same with ages, without peers that refuse connections by now."""
+        now = steady_s()
+        return [
+            Heard(peer.last, now - peer.heard_at)
+            for peer in self._peers.values()
+            if peer.last is not None
+            and now - peer.heard_at <= within_s
+            and peer.refused_since is None
+        ]
+
+    def refused_s(self, name: str) -> float:
+        """Return for how long a peer has refused connections, 0 if it does not."""
+        peer = self._peers.get(name)
+        if peer is None or peer.refused_since is None:
+            return 0.0
+        return steady_s() - peer.refused_since
+
     def watch_closely(self, name: str) -> None:
         """Ping this peer at the short period."""
         if name != self._watched:
@@ -203,7 +229,7 @@
         if peer.silent:
             peer.silent = False
             log("peer_heard", peer=card.name, incarnation=card.incarnation)
-        peer.last, peer.heard_at = pong, steady_s()
+        peer.last, peer.heard_at, peer.refused_since = pong, steady_s(), None
 
     def _meet(self, card: PeerCard) -> None:
         if card.name == self._me.name:
@@ -227,7 +253,7 @@
                 ip, _, port = peer.card.address.rpartition(":")
                 lane = FrameClient(ip, int(port))
             self._ping(peer, lane)
-            peer.wake.wait(PING_S if self._is_close(peer.card) else SLOW_PING_S)
+            peer.wake.wait(self._pause_s(peer))
             peer.wake.clear()
         lane.close()
         peer.close()
@@ -241,11 +267,20 @@
             if isinstance(answer, Pong):
                 self._hear(answer)
         except (CallFailed, ValueError) as error:
+            if not isinstance(error, CallRefused):
+                peer.refused_since = None
+            elif peer.refused_since is None:
+                peer.refused_since = steady_s()
             silence = steady_s() - peer.heard_at
             if not peer.silent and silence > SILENT_AFTER_S:
                 peer.silent = True
                 log("peer_silent", peer=peer.card.name, reason=str(error))
 
+    def _pause_s(self, peer: _Peer) -> float:
+        if peer.card.name == self._watched and not peer.silent and peer.refused_since:
+            return REFUSED_PING_S
+        return PING_S if self._is_close(peer.card) else SLOW_PING_S
+
     def _is_close(self, card: PeerCard) -> bool:
         if card.name == self._watched or len(self._peers) <= CLOSE_PEERS:
             return True
--- a/testing/builders/cluster.py
+++ b/testing/builders/cluster.py
@@ -3,6 +3,7 @@
 from primrosehub.core.batch import AcceptedJob, BatchSpec, StepSpec, TaskId
 from primrosehub.core.clusterconfig import Queue
 from primrosehub.core.fleet import EndedAttempt, EndKind, HostReport, RunningAttempt
+from primrosehub.core.peering import Heard, OwnerRow, OwnerSeen, PeerCard, Pong
 from primrosehub.core.resources import Resources
 from primrosehub.policy.packing import Demand, HostSpace
 
@@ -63,3 +64,19 @@
     values = {"key": "step", "team": "blue", "gang": False} | fields
     need = Resources(cpu_m, 256)
     return Demand(need=need, tasks=list(range(tasks)), **values)
+
+
+def a_card(name, incarnation=None, power=1.0):
+    return PeerCard(name, f"{name}:7000", "north", incarnation or f"of-{name}", power)
+
+
+def an_owner_row(name, epoch=1, incarnation=None, number=0):
+    life = f"of-{name}" if incarnation is None else incarnation
+    return OwnerRow(epoch, life, name, number)
+
+
+def heard(name, age_s, owner=None, heard_s=1e9, incarnation=None, power=1.0, **state):
+    row = owner or an_owner_row("hub-1")
+    seen = OwnerSeen(row.epoch, row.incarnation, row.name, heard_s)
+    values = {"config_version": 1, "store_reached": True} | state
+    return Heard(Pong(a_card(name, incarnation, power), seen, **values), age_s)
--- /dev/null
+++ b/testing/policy/test_succession.py
@@ -0,0 +1,105 @@
+import pytest
+from testing.builders.cluster import a_card, an_owner_row, heard
+
+from primrosehub.policy.succession import (
+    RANK_DELAY_S,
+    REFUSED_S,
+    SILENCE_S,
+    OwnerGone,
+    OwnerLives,
+    OwnerSilent,
+    OwnView,
+    judge_owner,
+    place_among,
+    same_owner,
+    take_over_after_s,
+)
+
+ME = a_card("hub-2")
+OWNER = an_owner_row("hub-1", epoch=3)
+
+
+def judge(heard_s, *news, row=OWNER, refused_s=0.0):
+    return judge_owner(row, OwnView(ME, heard_s, refused_s), news)
+
+
+def test_an_owner_heard_recently_lives():
+    assert judge(SILENCE_S / 2) == OwnerLives()
+
+
+def test_an_owner_that_a_peer_has_heard_lives():
+    assert judge(9.0, heard("hub-3", 0.2, owner=OWNER, heard_s=0.3)) == OwnerLives()
+
+
+def test_silence_counts_from_the_last_sign_of_life_and_not_from_the_hearsay():
+    verdict = judge(9.0, heard("hub-3", 0.5, owner=OWNER, heard_s=0.75))
+    assert verdict == OwnerSilent(1.25)
+
+
+def test_an_own_pong_counts_by_its_age():
+    assert judge(9.0, heard("hub-1", 0.25, owner=OWNER)) == OwnerLives()
+    assert judge(9.0, heard("hub-1", 1.5, owner=OWNER)) == OwnerSilent(1.5)
+
+
+def test_what_a_peer_says_of_another_owner_is_no_sign_of_life():
+    other = an_owner_row("hub-4", epoch=2)
+    news = heard("hub-3", 0.1, owner=other, heard_s=0.0)
+    assert judge(1.5, news) == OwnerSilent(1.5)
+
+
+@pytest.mark.parametrize(
+    "row",
+    [an_owner_row("", epoch=3, incarnation=""), an_owner_row("hub-2", epoch=3)],
+    ids=["vacant", "own-former-life"],
+)
+def test_a_vacant_row_and_the_own_former_life_are_gone(row):
+    assert judge(0.0, row=row) == OwnerGone()
+
+
+def test_an_owner_replaced_by_a_new_incarnation_is_gone():
+    reborn = heard("hub-1", 0.1, incarnation="second-life")
+    assert judge(0.0, reborn) == OwnerGone()
+
+
+def test_an_owner_that_refuses_connections_is_gone_after_the_second_time():
+    assert judge(0.2, refused_s=REFUSED_S / 2) == OwnerLives()
+    assert judge(0.2, refused_s=REFUSED_S) == OwnerGone()
+
+
+def test_the_first_candidate_takes_over_as_soon_as_the_owner_is_missed():
+    assert take_over_after_s(OwnerLives(), 0) is None
+    assert take_over_after_s(OwnerSilent(1.0), 0) == 0.0
+    assert take_over_after_s(OwnerGone(), 0) == 0.0
+
+
+def test_later_candidates_wait_for_those_before_them():
+    assert take_over_after_s(OwnerSilent(1.0), 2) == 2 * RANK_DELAY_S
+    assert take_over_after_s(OwnerGone(), 1) > RANK_DELAY_S
+
+
+def test_the_strongest_able_peer_comes_first():
+    strong = heard("hub-3", 0.1, power=2.0)
+    assert place_among(ME, True, OWNER, [strong, heard("hub-4", 0.1)]) == 1
+
+
+@pytest.mark.parametrize(
+    "state", [{"store_reached": False}, {"leaving": True}, {"slow": True}]
+)
+def test_peers_that_can_not_own_the_jobs_are_not_waited_for(state):
+    assert place_among(ME, True, OWNER, [heard("hub-0", 0.1, **state)]) == 0
+
+
+def test_the_missed_owner_is_no_candidate():
+    assert place_among(ME, True, OWNER, [heard("hub-1", 0.1, power=2.0)]) == 0
+
+
+def test_a_daemon_that_is_not_able_waits_for_all_others():
+    assert (
+        place_among(ME, False, OWNER, [heard("hub-3", 0.1), heard("hub-4", 0.1)]) == 2
+    )
+
+
+def test_writes_of_the_owner_do_not_make_it_another_one():
+    later = an_owner_row("hub-1", epoch=3, number=99)
+    assert same_owner(OWNER, later)
+    assert not same_owner(OWNER, an_owner_row("hub-1", epoch=4))
