Refuse submissions at once while no daemon reaches the store

A repeated submission of a stored job was then refused as never run. Ruled out: shorter call timeouts, as slow stores answer within them. Change: the store service tells for how long no known daemon was served; inserts are then not tried, those waiting are refused, the time to come back grows with the outage up to 3 s, and the owner is asked before 'not run' is told. Entries of doubtful submissions are forgotten after a minute.

--- a/src/primrosehub/platform/callers.py
+++ b/src/primrosehub/platform/callers.py
@@ -172,10 +172,15 @@
     return _answer(200, {"pending": count})
 
 
-def answer_error(error: HubError, retry_s: int) -> CallerAnswer:
+_COME_BACK = (429, 503, 504)
+
+
+def answer_error(error: HubError) -> CallerAnswer:
     """Tell what went wrong and, where it makes sense, when to come back."""
     status = ANSWERS[error.kind].status
-    extra = [("Retry-After", str(retry_s))] if status in (429, 503) else []
+    extra = []
+    if status in _COME_BACK:
+        extra.append(("Retry-After", str(error.retry_after_s)))
     return _answer(status, {"error": error.kind, "detail": error.detail}, extra)
 
 
--- a/src/primrosehub/services/_insert_batch.py
+++ b/src/primrosehub/services/_insert_batch.py
@@ -63,6 +63,8 @@
         self, key: RowKey, value: bytes, refuse_after_s: float, give_up_after_s: float
     ) -> Inserted | NotInserted:
         """Insert a row; a known failure is told sooner than an unknown outcome."""
+        if self._store.unreached_s:
+            return NotInserted(False, "no daemon reaches the store")
         now = steady_s()
         item = _Pending(key, value, now + refuse_after_s, now + give_up_after_s)
         self._pending.append(item)
@@ -127,10 +129,10 @@
                         self._finish(item, Inserted(values[item.key]))
 
     def _expire(self, batch: list[_Pending], reason: str) -> None:
-        now = steady_s()
-        for item in batch:
+        now, down = steady_s(), self._store.unreached_s > 0
+        for item in list(self._pending) if down else batch:
             limit = item.give_up_at if item.unknown else item.refuse_at
-            if now + RETRY_S > limit:
+            if (down and not item.unknown) or now + RETRY_S > limit:
                 self._finish(item, NotInserted(item.unknown, reason))
         gevent.sleep(RETRY_S)
 
--- a/src/primrosehub/services/caller_front.py
+++ b/src/primrosehub/services/caller_front.py
@@ -20,7 +20,6 @@
 
 DEFAULT_WAIT_S = 3.0  # of callers that do not say how long they wait
 FINISH_S = 1.0  # for requests read while the daemon closes; within its grace period
-RETRY_AFTER_S = 1  # told with each refusal; outages of the store last seconds
 
 
 class CallerFront:
@@ -102,11 +101,11 @@
                 config=self._config.current.version,
                 took_ms=round((steady_s() - began) * 1000),
             )
-            return callers.answer_error(error, RETRY_AFTER_S)
+            return callers.answer_error(error)
         except (OSError, ValueError) as error:
             log("caller_unreadable", reason=repr(error)[:200])
             malformed = HubError(ErrorKind.BAD_REQUEST, "the request is unreadable")
-            return callers.answer_error(malformed, RETRY_AFTER_S)
+            return callers.answer_error(malformed)
 
     def _dispatch(self, request: callers.CallerRequest) -> callers.CallerAnswer:
         target = (request.host, request.path, request.secret)
--- a/src/primrosehub/services/intake.py
+++ b/src/primrosehub/services/intake.py
@@ -46,6 +46,8 @@
 REFUSE_AFTER_S = 0.4
 ASK_OWNER_S = 0.6
 TELL_OWNER_S = 0.5
+FORGET_DOUBT_S = 60.0  # far beyond the time in which callers repeat a request
+MAX_RETRY_AFTER_S = 3  # callers wait 3 s for an answer
 WAITING_FRESH_S = 1.5  # an older count is not told
 
 
@@ -112,7 +114,7 @@
         known = self._ask_owner(AskState(job_id, team))
         if not (isinstance(known, StateIs) and known.state):
             self._state_from_store(job_id, team)
-        self._insert_once(CANCEL_TABLE, job_id, b"{}", wait_s)
+        self._insert_once(CANCEL_TABLE, job_id, team, b"{}", wait_s)
         log("cancel_accepted", job=job_id, team=team)
         self._tasks.spawn("tell-owner", self._tell_owner, JobCancelled(job_id))
 
@@ -152,7 +154,9 @@
     def _insert_job(self, accepted: AcceptedJob, wait_s: float) -> bool:
         """Store the job; tell whether it is new, or the same one was stored before."""
         value = encode(accepted)
-        stored = self._insert_once(JOB_TABLE, accepted.job, value, wait_s)
+        stored = self._insert_once(
+            JOB_TABLE, accepted.job, accepted.team, value, wait_s
+        )
         if stored == value:
             return True
         before = decode(AcceptedJob, stored)
@@ -165,7 +169,9 @@
             raise HubError(ErrorKind.CONFLICT, "another job has this id")
         return False
 
-    def _insert_once(self, table: str, job: str, value: bytes, wait_s: float) -> bytes:
+    def _insert_once(
+        self, table: str, job: str, team: str, value: bytes, wait_s: float
+    ) -> bytes:
         """Insert a row; return its value, or that of one that stood there before."""
         key = RowKey(table, self._part, job)
         result = self._batch.insert(
@@ -177,16 +183,39 @@
                 return value if existing is None else existing
             case NotInserted(unknown, reason):
                 if unknown:
-                    self._doubtful[job] = steady_s()
-                raise self._not_stored(key, job in self._doubtful, reason)
+                    self._note_doubt(job)
+                doubtful = job in self._doubtful or self._is_known(job, team)
+                raise self._not_stored(key, doubtful, reason)
+
+    def _note_doubt(self, job: str) -> None:
+        now = steady_s()
+        self._doubtful[job] = now
+        for other, since in list(self._doubtful.items()):
+            if now - since > FORGET_DOUBT_S:
+                del self._doubtful[other]
+
+    def _is_known(self, job: str, team: str) -> bool:
+        """Tell whether the owner knows a job, so that it was stored before."""
+        known = self._ask_owner(AskState(job, team))
+        return isinstance(known, StateIs) and known.state is not None
 
     def _not_stored(self, key: RowKey, doubtful: bool, reason: str) -> HubError:
         log("not_stored", job=key.key, table=key.table, unknown=doubtful, reason=reason)
         if doubtful:
             return HubError(
-                ErrorKind.OUTCOME_UNKNOWN, "the store did not answer; send it again"
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the store did not answer; send it again",
+                self._retry_after_s(),
             )
-        return HubError(ErrorKind.UNAVAILABLE, "the store takes no jobs at the moment")
+        return HubError(
+            ErrorKind.UNAVAILABLE,
+            "the store takes no jobs at the moment",
+            self._retry_after_s(),
+        )
+
+    def _retry_after_s(self) -> int:
+        """Return when to come back: an outage is expected to last as long again."""
+        return min(MAX_RETRY_AFTER_S, 1 + int(self._store.unreached_s))
 
     def _state_from_store(self, job_id: str, team: str) -> JobState:
         try:
--- a/src/primrosehub/services/names/cluster.py
+++ b/src/primrosehub/services/names/cluster.py
@@ -26,6 +26,10 @@
     def reached_directly(self) -> bool:
         """Tell whether the store answered this daemon's last direct call."""
 
+    @property
+    def unreached_s(self) -> float:
+        """Return how long no daemon known here reached the store, 0 if one does."""
+
     def commit(self, transaction: RowsTransaction) -> RowsOutcome:
         """Apply a transaction; raise StoreRefused or StoreUnknown."""
 
--- a/src/primrosehub/services/store.py
+++ b/src/primrosehub/services/store.py
@@ -45,6 +45,7 @@
         self._rows = RowStore(self._carry)
         self._direct_rows = RowStore(self._carry_directly)
         self._reached = True
+        self._lost_at = float("inf")
         self._doubt = Event()
 
     @property
@@ -52,6 +53,13 @@
         """Tell whether the store answered this daemon's last direct call."""
         return self._reached
 
+    @property
+    def unreached_s(self) -> float:
+        """Return how long no daemon known here reached the store, 0 if one does."""
+        if self._reached or self._relays():
+            return 0.0
+        return steady_s() - self._lost_at
+
     def start(self, stack: ExitStack) -> None:
         """Answer peers' relayed calls and probe a store that turned us away."""
         self._peering = self._kernel.find(PEERING)
@@ -123,11 +131,7 @@
         return StoreReply(response.status, response.body)
 
     def _carry_by_peer(self, call: StoreCall) -> StoreReply:
-        relays = [
-            pong.sender.name
-            for pong in self._peering.heard(PEER_FRESH_S)
-            if pong.store_reached
-        ]
+        relays = self._relays()
         message = RelayCall(call.method, call.target, call.body, call.timeout_s)
         for name in random.sample(relays, min(RELAY_TRIES, len(relays))):
             try:
@@ -144,6 +148,13 @@
                     raise StoreUnknown(f"relay {name}: {detail}")
         raise StoreRefused("the store does not serve this daemon or any peer")
 
+    def _relays(self) -> list[str]:
+        return [
+            pong.sender.name
+            for pong in self._peering.heard(PEER_FRESH_S)
+            if pong.store_reached
+        ]
+
     def _relay(self, call: RelayCall) -> RelayReply | RelayFailed:
         try:
             reply = self._carry_directly(
@@ -157,7 +168,7 @@
 
     def _lose(self, reason: str) -> None:
         if self._reached:
-            self._reached = False
+            self._reached, self._lost_at = False, steady_s()
             log("store_lost", reason=reason)
         self._doubt.set()
 
--- a/testing/hub/test_failures.py
+++ b/testing/hub/test_failures.py
@@ -267,6 +267,18 @@
     assert cell.state(cell.hubs[0], job) == "410"
 
 
+def test_a_stored_job_sent_again_is_not_refused_as_never_run(start_hubs):
+    cell = start_hubs()
+    body = b'{"spec":"run 3","phases":[{"count":1}]}'
+    job = cell.new_id()
+    assert cell.call(follower(cell), "POST", PREFIX + job, body).status == 200
+    cell.until(lambda: cell.starts(job), "the job did not start")
+    for hub in cell.hubs:
+        hub.door.state = DoorState.BUSY
+    for hub in cell.hubs:
+        assert cell.call(hub, "POST", PREFIX + job, body).status == 504
+
+
 def test_running_work_goes_on_while_the_store_is_down(start_hubs):
     cell = start_hubs()
     leader = cell.leader()
--- a/testing/protocol/test_insert_batch.py
+++ b/testing/protocol/test_insert_batch.py
@@ -15,12 +15,15 @@
 class FakeStore:
     """Keep inserted rows; ``failures`` are raised one a commit, after it if late."""
 
-    def __init__(self, *failures):
+    def __init__(self, *failures, unreached_s=0.0):
         self.rows = {}
+        self.unreached_s = unreached_s
+        self.calls = 0
         self.sizes = []
         self.failures = list(failures)
 
     def commit(self, transaction):
+        self.calls += 1
         gevent.sleep(0.01)
         failure = self.failures.pop(0) if self.failures else None
         if isinstance(failure, StoreRefused):
@@ -92,3 +95,23 @@
 def test_the_same_row_twice_in_one_batch_is_stored_once(insert):
     store = FakeStore()
     assert insert(store, "a", "a") == [Inserted(None), Inserted(b"new")]
+
+
+def test_an_insert_is_not_tried_while_no_daemon_reaches_the_store(insert):
+    store = FakeStore(unreached_s=0.5)
+    (result,) = insert(store, "a")
+    assert isinstance(result, NotInserted)
+    assert not result.unknown
+    assert store.calls == 0
+
+
+def test_inserts_that_wait_behind_a_lost_store_are_refused_with_it(insert):
+    class Lost(FakeStore):
+        def commit(self, transaction):
+            self.unreached_s = 0.1
+            return super().commit(transaction)
+
+    store = Lost(StoreRefused("gone"))
+    results = insert(store, "a", "b", refuse_s=60.0, give_up_s=60.0)
+    assert [result.unknown for result in results] == [False, False]
+    assert store.calls == 1
