--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -76,6 +76,7 @@
     asked: set[str] = field(default_factory=set)
     advising: bool = False
     advised_at: float = float("-inf")
+    unplaced_since: float | None = None
     explained_at: float = float("-inf")
 
     @property
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -147,8 +147,9 @@
             ("room", result.unplaced),
         ):
             for step in steps:
-                waited_s = now - max(step.job.submitted_at, step.explained_at)
-                if waited_s < EXPLAIN_S:
+                if step.unplaced_since is None:
+                    step.unplaced_since = now
+                if now - max(step.unplaced_since, step.explained_at) < EXPLAIN_S:
                     continue
                 step.explained_at = now
                 log(
@@ -157,6 +158,7 @@
                     step=step.number,
                     tasks=len(step.waiting),
                     reason=reason,
+                    waited_s=round(now - step.unplaced_since, 1),
                     advised_hosts=len(step.allowed or ()),
                     advising=step.advising,
                 )
@@ -173,6 +175,7 @@
                 attempt = term.book.next_attempt(members)
                 if step.spec.gang:
                     gang_attempts[id(step)] = attempt
+            step.unplaced_since = None
             session = term.sessions[placement.host]
             term.book.bind(task, session.host, attempt, TaskPhase.STARTING)
             session.bound[task] = None
