Start the hub without loading what only the /v1 daemons name

Cause: each hub module took METRICS from services/names, whose module defines the interfaces of the /v1 daemons and loads their rules, work and table types; a restarted daemon pays for it before it serves. Ruled out: bytecode (the build compiles it), defopt (loaded only with arguments), eliot (needed for the first line). Change: services/names holds what all daemons share, v1.py the rest.

--- a/src/primrosehub/binaries/_operator_context.py
+++ b/src/primrosehub/binaries/_operator_context.py
@@ -15,13 +15,13 @@
 from primrosehub.core.errors import HubError
 from primrosehub.core.table import TableOutcomeUnknown, TableUnavailable
 from primrosehub.kernel import Kernel
-from primrosehub.services import names
+from primrosehub.services.names import METRICS, v1
 
 MANIFEST = (
-    (names.METRICS, "primrosehub.services.metrics:MetricsRegistry"),
-    (names.TABLE, "primrosehub.services.table:TableClient"),
-    (names.OBJECTS, "primrosehub.services.objects:ObjectsClient"),
-    (names.HOST_LIST, "primrosehub.services.host_list:HostListClient"),
+    (METRICS, "primrosehub.services.metrics:MetricsRegistry"),
+    (v1.TABLE, "primrosehub.services.table:TableClient"),
+    (v1.OBJECTS, "primrosehub.services.objects:ObjectsClient"),
+    (v1.HOST_LIST, "primrosehub.services.host_list:HostListClient"),
 )
 
 
@@ -33,9 +33,9 @@
 class Platform:
     """Hold the platform's services, found by name."""
 
-    table: names.Table
-    objects: names.Objects
-    host_list: names.HostList
+    table: v1.Table
+    objects: v1.Objects
+    host_list: v1.HostList
 
 
 @contextmanager
@@ -48,9 +48,9 @@
         with ExitStack() as stack:
             kernel.start(stack)
             yield Platform(
-                kernel.find(names.TABLE),
-                kernel.find(names.OBJECTS),
-                kernel.find(names.HOST_LIST),
+                kernel.find(v1.TABLE),
+                kernel.find(v1.OBJECTS),
+                kernel.find(v1.HOST_LIST),
             )
     except SettingsError as error:
         raise OperatorError(str(error)) from None
--- a/src/primrosehub/binaries/_operator_jobs.py
+++ b/src/primrosehub/binaries/_operator_jobs.py
@@ -12,7 +12,7 @@
 from primrosehub.core.members import ShardOwner
 from primrosehub.core.resources import NOTHING, Resources
 from primrosehub.core.work import Job, TaskState
-from primrosehub.services.names import Keys
+from primrosehub.services.names.v1 import Keys
 
 
 def explain(job_id: str, *, settings: Path) -> int:
--- a/src/primrosehub/binaries/_operator_rules.py
+++ b/src/primrosehub/binaries/_operator_rules.py
@@ -21,7 +21,7 @@
 from primrosehub.core import keys
 from primrosehub.core.members import Member
 from primrosehub.core.table import ABSENT, Applied, Expect, Row, Transaction, Write
-from primrosehub.services.names import Keys, Prefix
+from primrosehub.services.names.v1 import Keys, Prefix
 
 IN_FORCE_TIMEOUT_S = 20.0
 SILENT_S = 8.0
--- a/src/primrosehub/binaries/_operator_state.py
+++ b/src/primrosehub/binaries/_operator_state.py
@@ -8,7 +8,7 @@
 from primrosehub.border.codec import from_plain
 from primrosehub.core import keys
 from primrosehub.core.members import Member, ShardOwner
-from primrosehub.services.names import Prefix
+from primrosehub.services.names.v1 import Prefix
 
 
 def status(*, settings: Path) -> int:
--- a/src/primrosehub/binaries/entry.py
+++ b/src/primrosehub/binaries/entry.py
@@ -8,27 +8,27 @@
 from primrosehub.binaries._daemon import run_daemon
 from primrosehub.border.settings import EntrySettings
 from primrosehub.kernel import Kernel
-from primrosehub.services import names
+from primrosehub.services.names import METRICS, v1
 
 MANIFEST = (
-    (names.METRICS, "primrosehub.services.metrics:MetricsRegistry"),
-    (names.TABLE, "primrosehub.services.table:TableClient"),
-    (names.HOST_LIST, "primrosehub.services.host_list:HostListClient"),
-    (names.CONFIGURATION, "primrosehub.services.configuration:ConfigurationPoller"),
-    (names.MEMBERSHIP, "primrosehub.services.membership:MembershipService"),
-    (names.PEERS, "primrosehub.services.peers:PeersService"),
-    (names.ADMISSION, "primrosehub.services.admission:AdmissionService"),
-    (names.QUICK, "primrosehub.services.quick:QuickService"),
-    (names.JOBS, "primrosehub.services.jobs:JobsService"),
-    (names.OPS_HTTP, "primrosehub.services.ops_http:OpsServer"),
-    (names.CALLERS_HTTP, "primrosehub.services.callers_http:CallersServer"),
+    (METRICS, "primrosehub.services.metrics:MetricsRegistry"),
+    (v1.TABLE, "primrosehub.services.table:TableClient"),
+    (v1.HOST_LIST, "primrosehub.services.host_list:HostListClient"),
+    (v1.CONFIGURATION, "primrosehub.services.configuration:ConfigurationPoller"),
+    (v1.MEMBERSHIP, "primrosehub.services.membership:MembershipService"),
+    (v1.PEERS, "primrosehub.services.peers:PeersService"),
+    (v1.ADMISSION, "primrosehub.services.admission:AdmissionService"),
+    (v1.QUICK, "primrosehub.services.quick:QuickService"),
+    (v1.JOBS, "primrosehub.services.jobs:JobsService"),
+    (v1.OPS_HTTP, "primrosehub.services.ops_http:OpsServer"),
+    (v1.CALLERS_HTTP, "primrosehub.services.callers_http:CallersServer"),
 )
 
 
 def leave(kernel: Kernel) -> None:
     """Announce the stop and finish the requests in flight."""
-    kernel.find(names.MEMBERSHIP).leave()
-    kernel.find(names.QUICK).drain(kernel.settings.drain_s)
+    kernel.find(v1.MEMBERSHIP).leave()
+    kernel.find(v1.QUICK).drain(kernel.settings.drain_s)
 
 
 def main() -> None:
--- a/src/primrosehub/binaries/hub.py
+++ b/src/primrosehub/binaries/hub.py
@@ -18,7 +18,7 @@
 from primrosehub.kernel.clock import steady_s
 from primrosehub.core.logs import log, log_to_stdout
 from primrosehub.kernel import Kernel
-from primrosehub.services import names
+from primrosehub.services.names import METRICS
 from primrosehub.services.names import cluster
 
 EXIT_BAD_SETTINGS = 2
@@ -29,7 +29,7 @@
 KEEP_FOR_EXIT_S = 1.2  # of the grace period, so that the process ends by itself
 
 MANIFEST = (
-    (names.METRICS, "primrosehub.services.metrics:MetricsRegistry"),
+    (METRICS, "primrosehub.services.metrics:MetricsRegistry"),
     (cluster.STORE, "primrosehub.services.store:StoreService"),
     (
         cluster.CLUSTER_CONFIG,
--- a/src/primrosehub/binaries/scheduler.py
+++ b/src/primrosehub/binaries/scheduler.py
@@ -8,26 +8,26 @@
 from primrosehub.binaries._daemon import run_daemon
 from primrosehub.border.settings import SchedulerSettings
 from primrosehub.kernel import Kernel
-from primrosehub.services import names
+from primrosehub.services.names import METRICS, v1
 
 MANIFEST = (
-    (names.METRICS, "primrosehub.services.metrics:MetricsRegistry"),
-    (names.TABLE, "primrosehub.services.table:TableClient"),
-    (names.HOST_LIST, "primrosehub.services.host_list:HostListClient"),
-    (names.CONFIGURATION, "primrosehub.services.configuration:ConfigurationPoller"),
-    (names.MEMBERSHIP, "primrosehub.services.membership:MembershipService"),
-    (names.GRANTS, "primrosehub.services.grants:GrantsService"),
-    (names.PEERS, "primrosehub.services.peers:PeersService"),
-    (names.DISPATCH, "primrosehub.services.dispatch:DispatchService"),
-    (names.SHARDS, "primrosehub.services.shards:ShardsService"),
-    (names.OPS_HTTP, "primrosehub.services.ops_http:OpsServer"),
+    (METRICS, "primrosehub.services.metrics:MetricsRegistry"),
+    (v1.TABLE, "primrosehub.services.table:TableClient"),
+    (v1.HOST_LIST, "primrosehub.services.host_list:HostListClient"),
+    (v1.CONFIGURATION, "primrosehub.services.configuration:ConfigurationPoller"),
+    (v1.MEMBERSHIP, "primrosehub.services.membership:MembershipService"),
+    (v1.GRANTS, "primrosehub.services.grants:GrantsService"),
+    (v1.PEERS, "primrosehub.services.peers:PeersService"),
+    (v1.DISPATCH, "primrosehub.services.dispatch:DispatchService"),
+    (v1.SHARDS, "primrosehub.services.shards:ShardsService"),
+    (v1.OPS_HTTP, "primrosehub.services.ops_http:OpsServer"),
 )
 
 
 def leave(kernel: Kernel) -> None:
     """Announce the stop and hand all shards over."""
-    kernel.find(names.MEMBERSHIP).leave()
-    kernel.find(names.SHARDS).release_all()
+    kernel.find(v1.MEMBERSHIP).leave()
+    kernel.find(v1.SHARDS).release_all()
 
 
 def main() -> None:
--- a/src/primrosehub/services/_backend_pool.py
+++ b/src/primrosehub/services/_backend_pool.py
@@ -23,7 +23,8 @@
     route,
 )
 from primrosehub.services._backend import Backend
-from primrosehub.services.names import HostList, Membership, Metrics
+from primrosehub.services.names import Metrics
+from primrosehub.services.names.v1 import HostList, Membership
 
 MAX_WAITING_PER_SERVICE = 1000
 MAX_EJECTED_SHARE = 0.5
--- a/src/primrosehub/services/_shard_context.py
+++ b/src/primrosehub/services/_shard_context.py
@@ -9,11 +9,11 @@
 from primrosehub.core.platform import Host
 from primrosehub.core.resources import Resources
 from primrosehub.core.table import Expect
-from primrosehub.services.names import (
+from primrosehub.services.names import Metrics
+from primrosehub.services.names.v1 import (
     ConfigurationService,
     GrantLedger,
     Membership,
-    Metrics,
     Peers,
     Table,
 )
--- a/src/primrosehub/services/_shard_run.py
+++ b/src/primrosehub/services/_shard_run.py
@@ -28,7 +28,7 @@
 from primrosehub.services._shard_state import Draft, ShardState
 from primrosehub.services._worker_session import Report
 from primrosehub.services._worker_sessions import WorkerSessions
-from primrosehub.services.names import Keys, Prefix
+from primrosehub.services.names.v1 import Keys, Prefix
 
 READ_CHUNK = 50
 MAX_INBOX_ROWS = 200
--- a/src/primrosehub/services/admission.py
+++ b/src/primrosehub/services/admission.py
@@ -9,7 +9,7 @@
 from primrosehub.core.errors import ErrorKind, HubError
 from primrosehub.core.rules import Access, ForTeams, OpenToAll
 from primrosehub.kernel import Kernel
-from primrosehub.services.names import CONFIGURATION
+from primrosehub.services.names.v1 import CONFIGURATION
 
 
 class AdmissionService:
--- a/src/primrosehub/services/callers_http.py
+++ b/src/primrosehub/services/callers_http.py
@@ -25,11 +25,11 @@
 from primrosehub.core.errors import ErrorKind, HubError
 from primrosehub.core.logs import log
 from primrosehub.kernel import Kernel
-from primrosehub.services.names import (
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.v1 import (
     ADMISSION,
     CONFIGURATION,
     JOBS,
-    METRICS,
     QUICK,
     QuickRequest,
 )
--- a/src/primrosehub/services/configuration.py
+++ b/src/primrosehub/services/configuration.py
@@ -14,7 +14,8 @@
 from primrosehub.core.rules import Configuration
 from primrosehub.core.table import TableUnavailable
 from primrosehub.kernel import Kernel
-from primrosehub.services.names import MEMBERSHIP, METRICS, PEERS, TABLE, Keys
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.v1 import MEMBERSHIP, PEERS, TABLE, Keys
 
 
 class ConfigurationPoller:
--- a/src/primrosehub/services/dispatch.py
+++ b/src/primrosehub/services/dispatch.py
@@ -12,12 +12,12 @@
 from primrosehub.kernel import Kernel
 from primrosehub.services._shard_context import Ownership, ShardServices
 from primrosehub.services._shard_run import ShardRun
-from primrosehub.services.names import (
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.v1 import (
     CONFIGURATION,
     GRANTS,
     HOST_LIST,
     MEMBERSHIP,
-    METRICS,
     PEERS,
     TABLE,
 )
--- a/src/primrosehub/services/grants.py
+++ b/src/primrosehub/services/grants.py
@@ -22,7 +22,8 @@
     Write,
 )
 from primrosehub.kernel import Kernel
-from primrosehub.services.names import CONFIGURATION, METRICS, TABLE, Keys
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.v1 import CONFIGURATION, TABLE, Keys
 
 MAX_TRIES = 4
 
--- a/src/primrosehub/services/jobs.py
+++ b/src/primrosehub/services/jobs.py
@@ -30,10 +30,10 @@
 from primrosehub.kernel import Kernel
 from primrosehub.policy.runnable import NeverRunnable, RunnableIn, judge
 from primrosehub.policy.spreading import choose_by_room
-from primrosehub.services.names import (
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.v1 import (
     CONFIGURATION,
     HOST_LIST,
-    METRICS,
     PEERS,
     TABLE,
     Keys,
--- a/src/primrosehub/services/membership.py
+++ b/src/primrosehub/services/membership.py
@@ -23,7 +23,7 @@
     Write,
 )
 from primrosehub.kernel import Kernel
-from primrosehub.services.names import CONFIGURATION, TABLE, CellView, Prefix
+from primrosehub.services.names.v1 import CONFIGURATION, TABLE, CellView, Prefix
 
 FORGET_AFTER_TAKE_OVERS = 10
 
--- /dev/null
+++ b/src/primrosehub/services/names/v1.py
@@ -0,0 +1,250 @@
+"""The names of the services behind the /v1 interface, and what each offers."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from primrosehub.core.members import Member, PeerNews, ShardOwner, ShardSummary
+from primrosehub.core.platform import Host
+from primrosehub.core.resources import Resources
+from primrosehub.core.rules import Access, Configuration
+from primrosehub.core.table import CommitOutcome, Row, Transaction
+from primrosehub.core.work import Job, JobSpec
+from primrosehub.kernel import ServiceName
+
+
+@dataclass(frozen=True, slots=True)
+class Prefix:
+    """Ask for the rows whose key starts with the prefix, in order, from ``after``."""
+
+    prefix: str
+    after: str = ""
+    limit: int = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Keys:
+    """Ask for the rows with these keys."""
+
+    keys: tuple[str, ...]
+
+
+class Table(Protocol):
+    """Reach the platform's transactional table service."""
+
+    def read(self, *queries: Prefix | Keys) -> list[list[Row]]:
+        """Return the rows of each query; raise TableUnavailable."""
+
+    def read_all(self, prefix: str) -> list[Row]:
+        """Return all rows under a prefix, page by page; raise TableUnavailable."""
+
+    def commit(self, transaction: Transaction) -> CommitOutcome:
+        """Apply a transaction; raise TableUnavailable or TableOutcomeUnknown."""
+
+    @property
+    def age_s(self) -> float:
+        """Return how long ago the last answered read was sent."""
+
+
+class Objects(Protocol):
+    """Reach the platform's object store."""
+
+    def put(self, name: str, content: bytes) -> None:
+        """Store an object; raise HubError when the store is unavailable."""
+
+    def get(self, name: str) -> bytes | None:
+        """Return an object or None; raise HubError when unavailable."""
+
+
+class HostList(Protocol):
+    """Hold the platform's last known list of hosts."""
+
+    def hosts(self) -> Mapping[str, Host]:
+        """Return the hosts by name."""
+
+
+@dataclass(frozen=True, slots=True)
+class CellView:
+    """Hold what one confirmed read of the table said of members and shards.
+
+    ``confirmed_at`` is the monotonic time in seconds at which the read was sent.
+    """
+
+    number: int = 0
+    confirmed_at: float = float("-inf")
+    live: tuple[Member, ...] = ()
+    known: tuple[Member, ...] = ()
+    owners: Mapping[str, tuple[ShardOwner, int]] = field(default_factory=dict)
+
+
+class Membership(Protocol):
+    """Show that this daemon lives and watch which others do."""
+
+    @property
+    def me(self) -> Member:
+        """Return this daemon's own row."""
+
+    @property
+    def view(self) -> CellView:
+        """Return the last confirmed view."""
+
+    def next_view(self, after: int, timeout_s: float) -> CellView:
+        """Wait for a view of a higher number, or return the last one."""
+
+    def refresh(self) -> None:
+        """Read the table at once."""
+
+    def leave(self) -> None:
+        """Announce that this daemon is leaving."""
+
+
+class ConfigurationService(Protocol):
+    """Hold the highest configuration version that this daemon has seen."""
+
+    @property
+    def current(self) -> Configuration:
+        """Return the configuration in force."""
+
+    @property
+    def trusted(self) -> bool:
+        """Tell whether no newer version can have been accepted unseen."""
+
+    def offer(self, version: int, text: str) -> None:
+        """Take over a version heard from a peer, if it is newer."""
+
+    def check_now(self) -> None:
+        """Read the version from the table at once."""
+
+
+class Peers(Protocol):
+    """Exchange news with the other daemons."""
+
+    def summaries(self) -> Mapping[str, ShardSummary]:
+        """Return the newest summary of each shard that was heard of."""
+
+    def publish(self, summaries: Sequence[ShardSummary]) -> None:
+        """Set the summaries of this daemon's own shards."""
+
+    def notify_inbox(self, shard: str) -> None:
+        """Tell the owner of a shard at once that its inbox has changed."""
+
+    def notify_shards(self) -> None:
+        """Tell every scheduler at once that shard rows have changed."""
+
+    def heard(self, within_s: float) -> Sequence[PeerNews]:
+        """Return the last news of each peer heard within the time."""
+
+
+class Shards(Protocol):
+    """Decide which shards this daemon owns."""
+
+    def release_all(self) -> None:
+        """Hand over all shards."""
+
+
+class Dispatch(Protocol):
+    """Run the jobs of the shards that this daemon owns."""
+
+    def acquire(self, shard: str, epoch: int, version: int, released: bool) -> None:
+        """Begin to act for a shard."""
+
+    def release(self, shard: str) -> None:
+        """Stop acting for a shard, at once."""
+
+    def inbox_changed(self, shard: str) -> None:
+        """Look into a shard's inbox now."""
+
+
+class GrantLedger(Protocol):
+    """Keep each shard's part of each team's upper limit."""
+
+    def load(self, shard: str) -> None:
+        """Read the shard's grants; raise TableUnavailable."""
+
+    def granted(self, shard: str, team: str) -> Resources:
+        """Return the amount that the shard may run for the team."""
+
+    def request(self, shard: str, team: str, needed: Resources) -> None:
+        """Raise the grant towards the needed amount, as far as the limit goes."""
+
+    def shrink(self, shard: str, team: str, used: Resources) -> None:
+        """Give back what is not in use."""
+
+
+class Admission(Protocol):
+    """Decide who may submit work."""
+
+    def team_for(self, access: Access, secret: str | None, what: str) -> str:
+        """Return the team charged for the work; raise HubError."""
+
+    def team_of_key(self, secret: str | None) -> str:
+        """Return the team of a key; raise HubError."""
+
+
+@dataclass(frozen=True, slots=True)
+class QuickRequest:
+    """Hold one quick request, decoded."""
+
+    service: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    secret: str | None
+    deadline_s: float | None = None
+    idempotent: bool = True
+    idempotency_key: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class QuickAnswer:
+    """Hold the backend server's whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    backend: str
+
+
+class Quick(Protocol):
+    """Run quick requests on backend servers."""
+
+    def run(self, request: QuickRequest) -> QuickAnswer:
+        """Return the answer of one backend server; raise HubError."""
+
+    def drain(self, timeout_s: float) -> bool:
+        """Refuse new requests and wait for those in flight; tell if all ended."""
+
+
+class Jobs(Protocol):
+    """Accept, read and cancel durable jobs."""
+
+    def submit(self, spec: JobSpec, idempotency_key: str) -> tuple[Job, bool]:
+        """Store a job once; return it and whether it is new."""
+
+    def read(self, team: str, job_id: str) -> Job:
+        """Return a job of the team; raise HubError."""
+
+    def list_jobs(self, team: str, after: str, limit: int) -> list[Job]:
+        """Return the team's jobs in the order of their ids."""
+
+    def cancel(self, team: str, job_id: str) -> Job:
+        """Ask for a job's cancellation; return the job."""
+
+
+TABLE: ServiceName[Table] = ServiceName("table")
+OBJECTS: ServiceName[Objects] = ServiceName("objects")
+HOST_LIST: ServiceName[HostList] = ServiceName("host-list")
+MEMBERSHIP: ServiceName[Membership] = ServiceName("membership")
+CONFIGURATION: ServiceName[ConfigurationService] = ServiceName("configuration")
+PEERS: ServiceName[Peers] = ServiceName("peers")
+SHARDS: ServiceName[Shards] = ServiceName("shards")
+DISPATCH: ServiceName[Dispatch] = ServiceName("dispatch")
+GRANTS: ServiceName[GrantLedger] = ServiceName("grants")
+ADMISSION: ServiceName[Admission] = ServiceName("admission")
+QUICK: ServiceName[Quick] = ServiceName("quick")
+JOBS: ServiceName[Jobs] = ServiceName("jobs")
+CALLERS_HTTP: ServiceName[object] = ServiceName("callers-http")
+OPS_HTTP: ServiceName[object] = ServiceName("ops-http")
--- a/src/primrosehub/services/ops_http.py
+++ b/src/primrosehub/services/ops_http.py
@@ -13,7 +13,8 @@
 
 from primrosehub.border.http_server import PromptHandler
 from primrosehub.kernel import Kernel
-from primrosehub.services.names import CONFIGURATION, MEMBERSHIP, METRICS
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.v1 import CONFIGURATION, MEMBERSHIP
 
 _OPTIONS = {"log": None, "handler_class": PromptHandler}
 _TEXT = [("Content-Type", "text/plain; charset=utf-8")]
--- a/src/primrosehub/services/peers.py
+++ b/src/primrosehub/services/peers.py
@@ -14,13 +14,8 @@
 from primrosehub.core.logs import log
 from primrosehub.core.members import Member, PeerNews, ShardSummary
 from primrosehub.kernel import Kernel
-from primrosehub.services.names import (
-    CONFIGURATION,
-    DISPATCH,
-    MEMBERSHIP,
-    METRICS,
-    TABLE,
-)
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.v1 import CONFIGURATION, DISPATCH, MEMBERSHIP, TABLE
 
 CALL_TIMEOUT_S = 1.0
 STALE_TABLE_S = 1.5
--- a/src/primrosehub/services/quick.py
+++ b/src/primrosehub/services/quick.py
@@ -24,12 +24,12 @@
 from primrosehub.kernel import Kernel
 from primrosehub.services._backend import Backend
 from primrosehub.services._backend_pool import BackendPool
-from primrosehub.services.names import (
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.v1 import (
     ADMISSION,
     CONFIGURATION,
     HOST_LIST,
     MEMBERSHIP,
-    METRICS,
     TABLE,
     QuickAnswer,
     QuickRequest,
--- a/src/primrosehub/services/shards.py
+++ b/src/primrosehub/services/shards.py
@@ -22,14 +22,8 @@
     Write,
 )
 from primrosehub.kernel import Kernel
-from primrosehub.services.names import (
-    DISPATCH,
-    MEMBERSHIP,
-    METRICS,
-    PEERS,
-    TABLE,
-    CellView,
-)
+from primrosehub.services.names import METRICS
+from primrosehub.services.names.v1 import DISPATCH, MEMBERSHIP, PEERS, TABLE, CellView
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosehub/services/table.py
+++ b/src/primrosehub/services/table.py
@@ -24,7 +24,8 @@
     Write,
 )
 from primrosehub.kernel import Kernel
-from primrosehub.services.names import METRICS, Keys, Metrics, Prefix
+from primrosehub.services.names import METRICS, Metrics
+from primrosehub.services.names.v1 import Keys, Prefix
 
 MAX_TRIES = 4
 FIRST_PAUSE_S = 0.1
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -9,7 +9,7 @@
     TableOutcomeUnknown,
     TableUnavailable,
 )
-from primrosehub.services.names import Keys
+from primrosehub.services.names.v1 import Keys
 
 
 class FakeTable:
--- a/testing/protocol/test_grants.py
+++ b/testing/protocol/test_grants.py
@@ -7,8 +7,8 @@
 from primrosehub.border.rule_file import parse_rules
 from primrosehub.core import keys
 from primrosehub.core.resources import NOTHING, Resources, total
-from primrosehub.services import names
 from primrosehub.services.grants import GrantsService
+from primrosehub.services.names import METRICS, v1
 from testing.builders import a_size, some_rules
 from testing.fakes import FakeConfiguration, FakeKernel, FakeMetrics, FakeTable
 
@@ -17,9 +17,9 @@
 
 def a_ledger(table, config=None):
     services = {
-        names.TABLE: table,
-        names.METRICS: FakeMetrics(),
-        names.CONFIGURATION: FakeConfiguration(config or parse_rules(some_rules())),
+        v1.TABLE: table,
+        METRICS: FakeMetrics(),
+        v1.CONFIGURATION: FakeConfiguration(config or parse_rules(some_rules())),
     }
     ledger = GrantsService(FakeKernel(services))
     ledger.start(ExitStack())
--- a/testing/protocol/test_shard_run.py
+++ b/testing/protocol/test_shard_run.py
@@ -11,11 +11,11 @@
 from primrosehub.core.table import ABSENT, Expect, Transaction, Write
 from primrosehub.core.work import Job, JobState, TaskState
 from primrosehub.kernel import TaskGroup
-from primrosehub.services import names
 from primrosehub.services._shard_context import Ownership, ShardServices
 from primrosehub.services._shard_run import ShardRun
 from primrosehub.services.grants import GrantsService
-from primrosehub.services.names import CellView
+from primrosehub.services.names import METRICS, v1
+from primrosehub.services.names.v1 import CellView
 from primrosehub_standins.journal import Journal
 from primrosehub_standins.web import serve
 from primrosehub_standins.worker import WorkerStandin
@@ -64,9 +64,9 @@
         grants = GrantsService(
             FakeKernel(
                 {
-                    names.TABLE: self.table,
-                    names.METRICS: FakeMetrics(),
-                    names.CONFIGURATION: configuration,
+                    v1.TABLE: self.table,
+                    METRICS: FakeMetrics(),
+                    v1.CONFIGURATION: configuration,
                 }
             )
         )
