Tell a constant time to come back

Cause: a time that grows with the outage was a guess; callers try for 3 s in all, so that a second attempt after 2 s or 3 s misses a store that is back. Ruled out: nothing.

--- a/src/primrosehub/core/errors.py
+++ b/src/primrosehub/core/errors.py
@@ -57,8 +57,7 @@
 class HubError(Exception):
     """Carry an error kind and a detail that tells the user what to do."""
 
-    def __init__(self, kind: ErrorKind, detail: str, retry_after_s: int = 1) -> None:
+    def __init__(self, kind: ErrorKind, detail: str) -> None:
         super().__init__(f"{kind}: {detail}")
-        self.retry_after_s = retry_after_s
         self.kind = kind
         self.detail = detail
--- a/src/primrosehub/platform/callers.py
+++ b/src/primrosehub/platform/callers.py
@@ -173,6 +173,8 @@
 
 
 _COME_BACK = (429, 503, 504)
+# Callers try for 3 s: each second once reaches a store that is back within that time.
+RETRY_AFTER_S = 1
 
 
 def answer_error(error: HubError) -> CallerAnswer:
@@ -180,7 +182,7 @@
     status = ANSWERS[error.kind].status
     extra = []
     if status in _COME_BACK:
-        extra.append(("Retry-After", str(error.retry_after_s)))
+        extra.append(("Retry-After", str(RETRY_AFTER_S)))
     return _answer(status, {"error": error.kind, "detail": error.detail}, extra)
 
 
--- a/src/primrosehub/services/intake.py
+++ b/src/primrosehub/services/intake.py
@@ -47,7 +47,6 @@
 ASK_OWNER_S = 0.6
 TELL_OWNER_S = 0.5
 FORGET_DOUBT_S = 60.0  # far beyond the time in which callers repeat a request
-MAX_RETRY_AFTER_S = 3  # callers wait 3 s for an answer
 WAITING_FRESH_S = 1.5  # an older count is not told
 
 
@@ -205,18 +204,12 @@
             return HubError(
                 ErrorKind.OUTCOME_UNKNOWN,
                 "the store did not answer; send it again",
-                self._retry_after_s(),
             )
         return HubError(
             ErrorKind.UNAVAILABLE,
             "the store takes no jobs at the moment",
-            self._retry_after_s(),
         )
 
-    def _retry_after_s(self) -> int:
-        """Return when to come back: an outage is expected to last as long again."""
-        return min(MAX_RETRY_AFTER_S, 1 + int(self._store.unreached_s))
-
     def _state_from_store(self, job_id: str, team: str) -> JobState:
         try:
             stored = self._find_row(JOB_TABLE, job_id)
