Settle an unanswered start by a stop even when its host falls silent

Ruled out: the lease (0.8 s after the start) and a take-over (one owner). Change: that check comes before the first sending only.

--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -259,14 +259,18 @@
                     self._send_stop(task, order, reason)
 
     def _send_start(self, task: TaskRun, attempt: int, planned_at: float) -> None:
-        if not self._still_wanted(task, attempt):
+        if not self._is_starting(task, attempt):
+            return
+        if not self._term.may_order or not self.answering:
+            self._term.not_started(self, task, "host or ownership in doubt")
             return
         order = self._start_order(task)
         sent = steady_s()
         outcome = self.client.start(order, ORDER_TIMEOUT_S)
         if isinstance(outcome, OrderUnanswered):
             log("start_unanswered", **_where(task), host=self.host)
-            if self._still_wanted(task, attempt):
+            # The order may be carried out yet, so from here on only a stop settles it.
+            if self._is_starting(task, attempt) and self._term.may_order:
                 again = self.client.start(order, ORDER_TIMEOUT_S)
                 outcome = again if isinstance(again, OrderDone) else outcome
         if self.closed or task.host != self.host or task.attempt != attempt:
@@ -281,16 +285,10 @@
             case OrderUnanswered():
                 self.stop(task, "start unanswered")
 
-    def _still_wanted(self, task: TaskRun, attempt: int) -> bool:
-        """Tell whether to send a start; free its room if it was never sent."""
-        if self.closed or task.host != self.host or task.attempt != attempt:
-            return False
-        if task.phase is not TaskPhase.STARTING:
-            return False
-        if not self._term.may_order or not self.answering:
-            self._term.not_started(self, task, "host or ownership in doubt")
-            return False
-        return True
+    def _is_starting(self, task: TaskRun, attempt: int) -> bool:
+        """Tell whether this attempt is still to be started on this host."""
+        bound = task.host == self.host and task.attempt == attempt
+        return bound and not self.closed and task.phase is TaskPhase.STARTING
 
     def _start_order(self, task: TaskRun) -> StartOrder:
         step = task.step
--- a/src/primrosehub_standins/worker_host.py
+++ b/src/primrosehub_standins/worker_host.py
@@ -54,6 +54,7 @@
     host: str
     journal: list[HostEvent]
     silent: bool = False
+    mute: bool = False  # carries out what it is told and answers nothing
     lose_answers: int = 0
     late_s: float = 0.0
     late_starts: int = 0
@@ -113,6 +114,8 @@
             "hold": self._hold,
         }
         status, answer = actions[path](body)
+        if self.mute:
+            raise Hang
         if self.lose_answers and path != "hold":
             self.lose_answers -= 1
             raise Cut
--- a/testing/hub/test_failures.py
+++ b/testing/hub/test_failures.py
@@ -164,6 +164,21 @@
         assert len(cell.starts(job)) == 1
 
 
+def test_a_start_on_a_host_that_falls_mute_is_not_repeated_elsewhere(start_hubs):
+    cell = start_hubs(hosts=2)
+    leader = cell.leader()
+    cell.hosts[0].mute = True
+    # Some orders leave just before the owner finds out, and wait for their answers.
+    jobs = []
+    for _ in range(12):
+        jobs.append(cell.submit(leader, {"count": 1, "cpu": 500}, spec="run 4"))
+        gevent.sleep(0.2)
+    cell.hosts[0].mute = False
+    for job in jobs:
+        cell.wait_for(leader, job, "completed", 20.0)
+    assert overlaps(cell.journal) == []
+
+
 def test_a_host_that_starts_again_under_its_id_gets_the_work_anew(start_hubs):
     cell = start_hubs(hosts=1)
     before = cell.submit(cell.leader())
