Write a waiting job's open row when its inbox row is settled

Cause: an owner removed the inbox row of each job it had read, and wrote the open row only for those it changed in the same transaction; a job that waited for room or its team's limit was then in its memory alone and lost at the next hand-over. Ruled out: the grants (three changes, none failed), worker sessions (234 syncs), slow starts (tasks pending for 40 s; no owner knew the jobs). Change: the transaction lists such jobs; a job's end always removes the row. After: the new test passes; testing/protocol passes.

--- a/src/primrosehub/services/_shard_state.py
+++ b/src/primrosehub/services/_shard_state.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from primrosehub.border.codec import from_plain, to_plain
 from primrosehub.core import keys
@@ -123,19 +123,37 @@
         for row in draft.inbox.values():
             expects.append(Expect(row.key, row.version))
             writes.append(Write(row.key, None))
+        # Without a row of its own, a job that only waits is lost to the next owner.
+        for job_id in self._unlisted(draft):
+            writes.append(Write(keys.open_job(self.shard, job_id), {}))
         return Transaction(tuple(expects), tuple(writes))
 
+    def _unlisted(self, draft: Draft) -> list[str]:
+        """Return the jobs that lose their inbox row and have no open row."""
+        prefix = keys.inbox(self.shard)
+        settled = [key.removeprefix(prefix) for key in draft.inbox]
+        return [
+            job_id
+            for job_id in settled
+            if job_id in self.entries
+            and job_id not in draft.jobs
+            and not self.entries[job_id].listed
+        ]
+
     def _listing(self, job: Job, listed: bool) -> Iterator[Write]:
         wanted = job.state is JobState.OPEN and job.shard == self.shard
         if wanted and not listed:
             yield Write(keys.open_job(self.shard, job.id), {})
-        if listed and not wanted:
+        if not wanted:
+            # Also where the answer to the write of the open row was lost.
             yield Write(keys.open_job(self.shard, job.id), None)
         if job.shard != self.shard:
             yield Write(keys.inbox(job.shard, job.id), {})
 
     def committed(self, draft: Draft, version: int) -> None:
         """Take over a draft whose transaction was applied."""
+        for job_id in self._unlisted(draft):
+            self.entries[job_id] = replace(self.entries[job_id], listed=True)
         for job in draft.jobs.values():
             if job.state is JobState.OPEN and job.shard == self.shard:
                 self.put(Entry(job, version, listed=True))
--- a/testing/protocol/test_shard_run.py
+++ b/testing/protocol/test_shard_run.py
@@ -154,6 +154,20 @@
     assert shard.job("blue.1").tasks[0].attempt == 1
 
 
+def test_a_job_that_waits_is_found_by_the_next_owner(shard):
+    old = shard.own(epoch=1)
+    shard.submit(a_job("blue.1", tasks=8))
+    shard.submit(a_job("blue.2"))
+    inbox = [keys.inbox(SHARD, name) for name in ("blue.1", "blue.2")]
+    shard.wait(lambda: not any(key in shard.table.rows for key in inbox))
+    assert shard.job("blue.2").tasks[0].state is TaskState.PENDING
+    old.close()
+    shard.own(epoch=2)
+    shard.wait(lambda: shard.job("blue.2").state is JobState.SUCCEEDED)
+    left = [k for k in shard.table.rows if k.startswith(("open/", "inbox/"))]
+    assert left == []
+
+
 def test_an_owner_that_lost_its_shard_changes_nothing_more(shard):
     shard.own(epoch=1)
     gevent.sleep(0.3)
