Time a job's end and its first start, and tell each second why steps wait

The lines of the slow seconds of an incident could not tell three causes apart: calls for advice, the order of service, and the way from a task's end to the caller. Now advised names why it was asked for and the job's age, attempt_started the job's age, steps_waiting counts each second what the steps wait for, and job_end_told times a job's end until it is stored and until it is first told. No decision changes.

testing/protocol, policy, platform, kernel and hub pass.

--- a/src/primrosehub/core/fleet.py
+++ b/src/primrosehub/core/fleet.py
@@ -142,6 +142,14 @@
 OrderOutcome = OrderDone | OrderRefused | OrderNotSent | OrderUnanswered
 
 
+class AdviceCause(StrEnum):
+    """Name why advice is asked for."""
+
+    FIRST = "first"
+    RENEWAL = "renewal"
+    MORE_HOSTS = "more_hosts"
+
+
 @dataclass(frozen=True, slots=True)
 class Ticket:
     """Allow a step on a worker host until ``valid_until`` (monotonic seconds)."""
--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -93,7 +93,8 @@
 class JobRun:
     """Hold one job; ``learned_at`` is when this owner first heard of it.
 
-    ``submitted_at`` is when the caller submitted it, on this owner's steady clock.
+    ``submitted_at`` is when the caller submitted it, on this owner's steady clock,
+    ``ended_at`` when it ended and ``stored_at`` when that was durable, 0 before.
     """
 
     accepted: AcceptedJob
@@ -107,6 +108,9 @@
     begun: bool = False
     submitted_at: float = 0.0
     beyond_share: bool = False
+    ended_at: float = 0.0
+    stored_at: float = 0.0
+    told: bool = False
 
     @property
     def final(self) -> bool:
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -149,11 +149,14 @@
             host=session.host,
             epoch=self.epoch,
             order_ms=round((now - planned_at) * 1000),
+            age_ms=round((now - job.submitted_at) * 1000),
         )
         self.metrics.count("attempts_started")
         self.metrics.observe("order_seconds", now - planned_at)
         if task.attempt == 1:
-            self.metrics.observe("start_wait_seconds", now - job.submitted_at)
+            self.metrics.observe(
+                "start_wait_seconds", now - job.submitted_at, queue=job.accepted.queue
+            )
         if job.final:
             self.stop(task, "job ended meanwhile")
 
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -8,7 +8,7 @@
 from gevent.event import Event
 
 from primrosehub.core.clusterconfig import AdviceCost, ClusterConfig
-from primrosehub.core.fleet import Ticket
+from primrosehub.core.fleet import AdviceCause, Ticket
 from primrosehub.core.logs import log
 from primrosehub.core.resources import NOTHING, Resources
 from primrosehub.kernel.clock import steady_s, unix_ms
@@ -19,13 +19,13 @@
     Demand,
     HostSpace,
     Placement,
-    Plan,
     TeamRoom,
     plan,
 )
 from primrosehub.policy.urgency import Urgency, chain_after, objective_s, urgency
 from primrosehub.services._host_session import HostSession
 from primrosehub.services._job_book import StepRun, TaskPhase
+from primrosehub.services._wait_report import WaitReport
 
 if TYPE_CHECKING:
     from primrosehub.services._owner_term import OwnerTerm
@@ -35,7 +35,6 @@
 TICKET_MARGIN_S = 0.3  # a ticket must outlive the order's way to the host
 READVISE_S = 0.3  # between calls for one step
 LISTING_GRACE_S = 2.5
-EXPLAIN_S = 1.0  # between two lines on why a step waits
 _DEFAULT_TARGET_S = 1.0
 
 
@@ -45,6 +44,7 @@
     def __init__(self, term: OwnerTerm) -> None:
         self._term = term
         self.changed = Event()
+        self._report = WaitReport(term.metrics)
 
     def run(self) -> None:
         """Plan until the term ends."""
@@ -131,38 +131,15 @@
                 demands.append(_demand(step, advised, now))
         result = plan(demands, spaces, teams)
         self._send(result.placements)
-        self._explain(result, now)
+        self._report.note(result, steps, now)
         for step in result.lacking_tickets:
-            self._ask_advice(step, sorted(step.allowed or ()), now)
+            self._ask_advice(step, sorted(step.allowed or ()), AdviceCause.RENEWAL, now)
         for step in result.unplaced:
             if step.job.queue and step.job.queue.advice:
                 known = step.allowed or frozenset()
                 short = room_for(step.spec.need, known, spaces) < len(step.waiting)
                 self._ask_about(step, spaces, now, free_only=not short)
 
-    def _explain(self, result: Plan, now: float) -> None:
-        """Log why steps wait that have waited for long."""
-        for reason, steps in (
-            ("team_limit", result.limited),
-            ("room", result.unplaced),
-        ):
-            for step in steps:
-                if step.unplaced_since is None:
-                    step.unplaced_since = now
-                if now - max(step.unplaced_since, step.explained_at) < EXPLAIN_S:
-                    continue
-                step.explained_at = now
-                log(
-                    "step_waits",
-                    job=step.job.accepted.job,
-                    step=step.number,
-                    tasks=len(step.waiting),
-                    reason=reason,
-                    waited_s=round(now - step.unplaced_since, 1),
-                    advised_hosts=len(step.allowed or ()),
-                    advising=step.advising,
-                )
-
     def _send(self, placements: tuple[Placement, ...]) -> None:
         term = self._term
         gang_attempts: dict[int, int] = {}
@@ -196,20 +173,25 @@
             step.asked,
             free_only,
         )
-        if self._ask_advice(step, hosts, now):
+        cause = AdviceCause.FIRST if step.allowed is None else AdviceCause.MORE_HOSTS
+        if self._ask_advice(step, hosts, cause, now):
             step.asked.update(hosts)
 
-    def _ask_advice(self, step: StepRun, hosts: list[str], now: float) -> bool:
+    def _ask_advice(
+        self, step: StepRun, hosts: list[str], cause: AdviceCause, now: float
+    ) -> bool:
         cost = step.job.queue.advice if step.job.queue else None
         if not hosts or cost is None:
             return False
         if step.advising or now - step.advised_at < READVISE_S:
             return False
         step.advising, step.advised_at = True, now
-        self._term.tasks.spawn("advice", self._advise, step, cost, hosts)
+        self._term.tasks.spawn("advice", self._advise, step, cost, hosts, cause)
         return True
 
-    def _advise(self, step: StepRun, cost: AdviceCost, hosts: list[str]) -> None:
+    def _advise(
+        self, step: StepRun, cost: AdviceCost, hosts: list[str], cause: AdviceCause
+    ) -> None:
         began = steady_s()
         try:
             advice = self._term.advising.advise(
@@ -229,11 +211,15 @@
         for host, value in advice.tickets.items():
             step.tickets[host] = Ticket(value, until)
         step.allowed = (step.allowed or frozenset()) | frozenset(advice.tickets)
-        self._term.metrics.observe("advice_seconds", step.advised_at - began)
+        self._term.metrics.observe(
+            "advice_seconds", step.advised_at - began, cause=str(cause)
+        )
         log(
             "advised",
             job=step.job.accepted.job,
             step=step.number,
+            cause=cause,
+            age_ms=round((step.advised_at - step.job.submitted_at) * 1000),
             asked=len(hosts),
             allowed=len(advice.tickets),
             took_ms=round((step.advised_at - began) * 1000),
--- a/src/primrosehub/services/_progress_writer.py
+++ b/src/primrosehub/services/_progress_writer.py
@@ -99,14 +99,18 @@
         except BaseException:
             book.dirty.update(ids)
             raise
+        now = steady_s()
         for job, state in zip(jobs, states, strict=True):
             job.shown = state
+            if job.ended_at and not job.stored_at:
+                job.stored_at = now
+                term.metrics.observe("end_stored_seconds", now - job.ended_at)
         if roster_changed:
             self._roster = roster
             for session in enrolled:
                 session.enrolled = True
             term.wake()
-        term.metrics.observe("progress_write_seconds", steady_s() - began)
+        term.metrics.observe("progress_write_seconds", now - began)
 
 
 def encode_roster(roster: dict[str, str]) -> bytes:
--- a/src/primrosehub/services/_reports.py
+++ b/src/primrosehub/services/_reports.py
@@ -78,6 +78,9 @@
         stops = []
     else:
         stops = _note_earlier_end(term, task, end, session.host)
+    job = task.step.job
+    if job.final and not job.ended_at:
+        job.ended_at = steady_s()
     for stop in stops:
         term.stop(stop.task, stop.reason)
     term.wake()
--- /dev/null
+++ b/src/primrosehub/services/_wait_report.py
@@ -0,0 +1,66 @@
+"""Tell why steps wait: a line for each that has waited long, and totals."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from primrosehub.core.logs import log
+from primrosehub.policy.packing import Plan
+from primrosehub.services._job_book import StepRun
+from primrosehub.services.names import Metrics
+
+EXPLAIN_S = 1.0  # between two lines on why a step waits, and between two totals
+
+
+class WaitReport:
+    """Hold when the waiting steps were last reported on."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._totalled_at = float("-inf")
+
+    def note(self, plan: Plan, steps: Sequence[StepRun], now: float) -> None:
+        """Take note of what a plan left waiting, in the order of service."""
+        for reason, waiting in (
+            ("team_limit", plan.limited),
+            ("room", plan.unplaced),
+        ):
+            for step in waiting:
+                self._explain(step, reason, now)
+        if now - self._totalled_at >= EXPLAIN_S:
+            self._totalled_at = now
+            self._total(plan, steps, now)
+
+    def _explain(self, step: StepRun, reason: str, now: float) -> None:
+        if step.unplaced_since is None:
+            step.unplaced_since = now
+        if now - max(step.unplaced_since, step.explained_at) < EXPLAIN_S:
+            return
+        step.explained_at = now
+        log(
+            "step_waits",
+            job=step.job.accepted.job,
+            step=step.number,
+            tasks=len(step.waiting),
+            reason=reason,
+            waited_s=round(now - step.unplaced_since, 1),
+            advised_hosts=len(step.allowed or ()),
+            advising=step.advising,
+        )
+
+    def _total(self, plan: Plan, steps: Sequence[StepRun], now: float) -> None:
+        totals = {
+            "team_limit": len(plan.limited),
+            "room": len(plan.unplaced),
+            "first_advice": sum(_lacks_advice(step) for step in steps),
+            "under_advice": sum(step.advising for step in steps),
+        }
+        for reason, count in totals.items():
+            self._metrics.gauge("steps_waiting", count, reason=reason)
+        oldest_s = max((now - step.job.submitted_at for step in steps), default=0.0)
+        log("steps_waiting", **totals, oldest_s=round(oldest_s, 1))
+
+
+def _lacks_advice(step: StepRun) -> bool:
+    queue = step.job.queue
+    return queue is not None and queue.advice is not None and step.allowed is None
--- a/src/primrosehub/services/scheduler.py
+++ b/src/primrosehub/services/scheduler.py
@@ -19,7 +19,9 @@
 )
 from primrosehub.kernel import Kernel, TaskGroup, log_task_error
 from primrosehub.kernel.clock import steady_s
+from primrosehub.services._job_book import JobRun
 from primrosehub.services._owner_term import OwnerTerm
+from primrosehub.services.names import METRICS
 from primrosehub.services.names.cluster import PEERING
 
 
@@ -32,6 +34,7 @@
 
     def start(self, stack: ExitStack) -> None:
         """Answer peers that ask the owner."""
+        self._metrics = self._kernel.find(METRICS)
         peering = self._kernel.find(PEERING)
         peering.answer_with(JobsAccepted, self._on_accepted)
         peering.answer_with(JobCancelled, self._on_cancelled)
@@ -73,6 +76,7 @@
             return JobState.RUNNING
         if known.final and known.shown is not known.state:
             return JobState.RUNNING
+        self._note_told(known)
         return known.shown
 
     def waiting_in(self, queue: str) -> int:
@@ -89,6 +93,22 @@
         """Take note of a stored cancellation; raise LookupError without a term."""
         self._loaded_term().cancel(job)
 
+    def _note_told(self, job: JobRun) -> None:
+        """Take note of the first answer that shows a job's end."""
+        if not job.stored_at or job.told:
+            return
+        job.told = True
+        now = steady_s()
+        self._metrics.observe("stored_told_seconds", now - job.stored_at)
+        log(
+            "job_end_told",
+            job=job.accepted.job,
+            state=job.shown,
+            age_ms=round((now - job.submitted_at) * 1000),
+            ended_to_stored_ms=round((job.stored_at - job.ended_at) * 1000),
+            stored_to_told_ms=round((now - job.stored_at) * 1000),
+        )
+
     def _loaded_term(self) -> OwnerTerm:
         if self._term is None or not self._term.loaded.is_set():
             raise LookupError("this daemon does not own the jobs")
