--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -53,9 +53,10 @@
             gevent.sleep(GATHER_S)
             self.changed.clear()
             if self._term.may_order:
-                self._plan()
+                self.plan_once()
 
-    def _plan(self) -> None:
+    def plan_once(self) -> None:
+        """Place what fits now, and ask for the advice that is missing."""
         began = steady_s()
         term = self._term
         config = term.config.current
--- a/testing/builders/cluster.py
+++ b/testing/builders/cluster.py
@@ -1,10 +1,21 @@
 """Build jobs, steps, hosts and reports for tests of the hub's services."""
 
 from primrosehub.core.batch import AcceptedJob, BatchSpec, StepSpec, TaskId
-from primrosehub.core.clusterconfig import Queue
-from primrosehub.core.fleet import EndedAttempt, EndKind, HostReport, RunningAttempt
+from primrosehub.core.clusterconfig import (
+    AdviceCost,
+    ClusterConfig,
+    Queue,
+    TeamEntitlement,
+)
+from primrosehub.core.fleet import (
+    EndedAttempt,
+    EndKind,
+    HostReport,
+    RunningAttempt,
+    WorkerHost,
+)
 from primrosehub.core.peering import Heard, OwnerRow, OwnerSeen, PeerCard, Pong
-from primrosehub.core.resources import Resources
+from primrosehub.core.resources import NOTHING, Resources
 from primrosehub.policy.packing import Demand, HostSpace
 
 JOB = "5c0e7a21d94b36f8"
@@ -15,9 +26,9 @@
     return StepSpec(tasks=tasks, need=Resources(cpu_m, 256), **fields)
 
 
-def an_accepted_job(*steps, job=JOB, team="blue", **fields):
+def an_accepted_job(*steps, job=JOB, team="blue", queue="quotes", **fields):
     spec = BatchSpec("run 1", steps or (a_step(),), **fields)
-    return AcceptedJob(job, team, "quotes", "workshop", 0, spec)
+    return AcceptedJob(job, team, queue, "workshop", 0, spec)
 
 
 def a_queue(max_attempts=3, **fields):
@@ -36,6 +47,20 @@
     return Queue(**(values | fields))
 
 
+def an_advice_cost(decide_s=0.01):
+    return AdviceCost(decide_s, per_host_s=0.001, valid_s=2.0)
+
+
+def a_config(*queues, limit=NOTHING):
+    team = TeamEntitlement("blue", weight=100.0, limit=limit)
+    return ClusterConfig(1, queues or (a_queue(),), {"blue": team})
+
+
+def a_host(name="h1", cpu_m=8000):
+    room = Resources(cpu_m, 16384)
+    return WorkerHost(name, "workshop", "", "north", False, room, ("a", "r1"))
+
+
 def a_task_id(index=0, step=0, job=JOB):
     return TaskId(job, 0, step, index)
 
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -1,5 +1,12 @@
 """Small fakes at the interfaces between services."""
 
+from types import SimpleNamespace
+
+import gevent
+from gevent.event import Event
+
+from primrosehub.core.fleet import Advice
+from primrosehub.core.resources import NOTHING
 from primrosehub.core.rules import Configuration
 from primrosehub.core.table import (
     ABSENT,
@@ -9,6 +16,7 @@
     TableOutcomeUnknown,
     TableUnavailable,
 )
+from primrosehub.policy.host_pace import HostPace
 from primrosehub.services.names.v1 import Keys
 
 
@@ -83,3 +91,60 @@
 
     def has(self, name):
         return name.name in self._services
+
+
+class FakeAdvising:
+    """Hold each call for advice until it is answered with all hosts it names."""
+
+    def __init__(self, callers=1):
+        self.callers = callers
+        self.calls = []
+        self._held = {}
+
+    @property
+    def under_way(self):
+        return list(self._held)
+
+    def advise(self, job, occurrence, step, hosts, cost_s):
+        self.calls.append(job)
+        self._held[job] = Event()
+        self._held[job].wait()
+        del self._held[job]
+        return Advice({host: f"ticket-{host}" for host in hosts}, 2.0)
+
+    def answer(self, job):
+        self._held[job].set()
+
+
+class FakeHostSession:
+    """Take starts and keep the room that they use."""
+
+    def __init__(self, info):
+        self.info = info
+        self.host = info.host
+        self.bound = {}
+        self.trust = SimpleNamespace(risk=0.0)
+        self.pace = HostPace()
+
+    @property
+    def used(self):
+        return sum((task.step.spec.need for task in self.bound), NOTHING)
+
+    def accepts_starts(self, now, listing_grace_s):
+        return True
+
+    def start(self, task):
+        pass
+
+
+class FakeTasks:
+    """Run tasks without the guard of a task group."""
+
+    def __init__(self):
+        self._running = []
+
+    def spawn(self, name, function, *args):
+        self._running.append(gevent.spawn(function, *args))
+
+    def close(self):
+        gevent.killall(self._running)
