Ask for advice only for steps that it would let start

Cause: each waiting step was judged alone, so one free place, of a host or below a team's limit, made every waiting step renew its tickets or ask about more hosts, and steps of a team at its limit asked at once; tickets last 2 s, so most answers were never used. The class of fault is work done ahead for a resource that is not reserved. Ruled out by the new lines: the order of service, and the way from an end to the caller.

Now the steps that a plan leaves waiting are looked at once more in their order, and each that advice would let start uses up what the plan has left of hosts and teams, also while its call is under way; a later step asks only for what remains. A gang that knows too few hosts to ever start still asks at once, as no room can be kept for it before.

--- a/src/primrosehub/policy/advice_choice.py
+++ b/src/primrosehub/policy/advice_choice.py
@@ -48,12 +48,5 @@
     return named
 
 
-def room_for(need: Resources, hosts: frozenset[str], spaces: list[HostSpace]) -> int:
-    """Return how many tasks the hosts could hold if nothing else ran there."""
-    return sum(
-        space.total.times_contained(need) for space in spaces if space.host in hosts
-    )
-
-
 def _free_room(space: HostSpace) -> Resources:
     return Resources(space.cpu_m, space.memory_mb, space.accelerators)
--- /dev/null
+++ b/src/primrosehub/policy/advice_need.py
@@ -0,0 +1,68 @@
+"""Which waiting steps advice would let start; no I/O and no clock."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from primrosehub.policy.packing import (
+    Demand,
+    HostSpace,
+    TeamRoom,
+    candidates,
+    choose,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class AdviceWanted:
+    """Ask about a step, which would then start on these hosts.
+
+    No hosts stand for a gang that knows too few to ever start.
+    """
+
+    key: object
+    hosts: frozenset[str] = frozenset()
+
+
+def wanted_advice(
+    unplaced: Sequence[Demand], spaces: list[HostSpace], teams: TeamRoom
+) -> Iterator[AdviceWanted]:
+    """Yield what to ask, in the order of the demands.
+
+    ``spaces`` and ``teams`` hold what a plan has left. Each step that may start once it
+    is advised uses up what it needs of them, so that no later one asks for the same.
+    """
+    by_host = {space.host: space for space in spaces}
+    teams = teams.copy()
+    for demand in unplaced:
+        if demand.allowed is None:
+            continue
+        count = min(len(demand.tasks), teams.times(demand.team, demand.need))
+        if count == 0 or (demand.gang and count < len(demand.tasks)):
+            continue
+        hosts = _promise(demand, by_host, count)
+        teams.take(demand.team, demand.need, len(hosts))
+        if not demand.may_ask:
+            continue
+        if hosts or (demand.gang and _knows_too_few(demand, by_host)):
+            yield AdviceWanted(demand.key, frozenset(hosts))
+
+
+def _promise(demand: Demand, by_host: dict[str, HostSpace], count: int) -> list[str]:
+    """Take room on hosts that are allowed, or on any that may turn out to be."""
+    chosen = choose(demand, candidates(demand, by_host, demand.known), count)
+    if not chosen:
+        possible = [host for host in by_host if host not in demand.refused]
+        chosen = choose(demand, candidates(demand, by_host, possible), count)
+    return [space.host for _, space in chosen]
+
+
+def _knows_too_few(demand: Demand, by_host: dict[str, HostSpace]) -> bool:
+    """Tell whether the allowed hosts could not hold a gang if they were empty."""
+    held = sum(
+        by_host[host].total.times_contained(demand.need)
+        for host in demand.known
+        if host in by_host
+    )
+    return held < len(demand.tasks)
--- a/src/primrosehub/policy/packing.py
+++ b/src/primrosehub/policy/packing.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
 
 from primrosehub.core.resources import NOTHING, Resources
 
@@ -17,7 +18,8 @@
 class HostSpace:
     """Hold the free room of one host; ``risk`` above 0 makes it a second choice.
 
-    ``slowness`` is the logarithm of its time over the fleet's mean.
+    ``slowness`` is the logarithm of its time over the fleet's mean. ``reserved_for`` is
+    the key of the gang that has the host to itself.
     """
 
     host: str
@@ -29,7 +31,7 @@
     labels: tuple[str, ...]
     risk: float = 0.0
     slowness: float = 0.0
-    reserved: bool = False
+    reserved_for: object = None
 
     def fits(self, need: Resources) -> bool:
         """Tell whether the need fits into the free room."""
@@ -59,8 +61,10 @@
     ``tasks`` are indexes into the step, ``failed_on`` the hosts on which each failed,
     which are taken only if no other has room.
     ``allowed`` names hosts with a valid ticket, None means any. ``expired`` names
-    hosts that would be allowed with a new ticket. ``placed`` counts tasks of the step
-    on each host. Demands come in the order in which they are to be served.
+    hosts that would be allowed with a new ticket, ``refused`` those that advice does
+    not allow; of all others nothing is known. ``may_ask`` is false while a call for
+    advice is under way. ``placed`` counts tasks of the step on each host. Demands come
+    in the order in which they are to be served.
     """
 
     key: object
@@ -75,9 +79,16 @@
     failed_on: dict[int, set[str]] = field(default_factory=dict)
     allowed: frozenset[str] | None = None
     expired: frozenset[str] = frozenset()
+    refused: frozenset[str] = frozenset()
+    may_ask: bool = True
     placed: dict[str, int] = field(default_factory=dict)
     estimate_s: float = 0.0
 
+    @property
+    def known(self) -> frozenset[str]:
+        """Return the hosts that advice allows, with a valid ticket or without."""
+        return (self.allowed or frozenset()) | self.expired
+
 
 @dataclass(frozen=True, slots=True)
 class Placement:
@@ -92,13 +103,12 @@
 class Plan:
     """Hold the placements, and which demands were not placed whole.
 
-    Those in ``lacking_tickets`` would fit on hosts whose tickets have expired, those in
-    ``limited`` wait for their team's limit.
+    ``unplaced`` holds them with the tasks that remain; those in ``limited`` wait for
+    their team's limit.
     """
 
     placements: tuple[Placement, ...]
-    lacking_tickets: tuple[object, ...] = ()
-    unplaced: tuple[object, ...] = ()
+    unplaced: tuple[Demand, ...] = ()
     limited: tuple[object, ...] = ()
 
 
@@ -111,6 +121,10 @@
         self._left = left
         self._limits = limits
 
+    def copy(self) -> TeamRoom:
+        """Return the same room, to be used up separately."""
+        return TeamRoom(dict(self._left), self._limits)
+
     def times(self, team: str, need: Resources) -> int:
         """Return how many tasks of the need the team may still start."""
         left, limit = self._left.get(team), self._limits.get(team)
@@ -143,8 +157,7 @@
     """Place as many tasks as fit, in the order of the demands."""
     by_host = {space.host: space for space in spaces}
     placements: list[Placement] = []
-    lacking: list[object] = []
-    unplaced: list[object] = []
+    unplaced: list[Demand] = []
     limited: list[object] = []
     reservations = 0
     for demand in demands[:BACKLOG_SCAN]:
@@ -154,47 +167,47 @@
             if demand.gang:
                 teams.keep_for(demand)
             continue
-        candidates = _candidates(demand, by_host, demand.allowed)
-        chosen = _choose(demand, candidates, count)
+        chosen = choose(demand, candidates(demand, by_host, demand.allowed), count)
         for task, space in chosen:
             placements.append(Placement(demand.key, task, space.host))
         teams.take(demand.team, demand.need, len(chosen))
         if len(chosen) == count:
             continue
-        unplaced.append(demand.key)
-        if demand.expired and _would_fit(demand, by_host):
-            lacking.append(demand.key)
+        started = {task for task, _ in chosen}
+        remaining = [task for task in demand.tasks if task not in started]
+        unplaced.append(replace(demand, tasks=remaining))
         if demand.gang and reservations < RESERVATIONS:
             reservations += _reserve(demand, by_host)
-    return Plan(tuple(placements), tuple(lacking), tuple(unplaced), tuple(limited))
+    return Plan(tuple(placements), tuple(unplaced), tuple(limited))
 
 
-def _candidates(
-    demand: Demand, by_host: dict[str, HostSpace], allowed: frozenset[str] | None
+def candidates(
+    demand: Demand, by_host: dict[str, HostSpace], hosts: Iterable[str] | None
 ) -> list[HostSpace]:
-    if allowed is None:
+    """Return those of the hosts, None for any, on which one task fits."""
+    if hosts is None:
         pool = list(by_host.values())
     else:
-        pool = [by_host[host] for host in allowed if host in by_host]
+        pool = [by_host[host] for host in hosts if host in by_host]
     return [
         space
         for space in pool
-        if not space.reserved
+        if space.reserved_for in (None, demand.key)
         and space.fits(demand.need)
         and (not demand.label or demand.label in space.labels)
     ]
 
 
-def _choose(
-    demand: Demand, candidates: list[HostSpace], count: int
+def choose(
+    demand: Demand, hosts: list[HostSpace], count: int
 ) -> list[tuple[int, HostSpace]]:
     """Return hosts for up to ``count`` tasks, a gang all or none; take their room."""
     if demand.one_rack:
-        candidates = _best_rack(demand, candidates)
+        hosts = _best_rack(demand, hosts)
     placed = dict(demand.placed)
     chosen: list[tuple[int, HostSpace]] = []
     for task in demand.tasks[:count]:
-        space = _best(demand, candidates, demand.failed_on.get(task, ()), placed)
+        space = _best(demand, hosts, demand.failed_on.get(task, ()), placed)
         if space is None:
             if demand.gang:
                 break
@@ -248,23 +261,17 @@
     return room.times_contained(need)
 
 
-def _would_fit(demand: Demand, by_host: dict[str, HostSpace]) -> bool:
-    hosts = demand.expired | (demand.allowed or frozenset())
-    candidates = _candidates(demand, by_host, hosts)
-    room = sum(_times(space, demand.need) for space in candidates)
-    return room >= (len(demand.tasks) if demand.gang else 1)
-
-
 def _reserve(demand: Demand, by_host: dict[str, HostSpace]) -> int:
     """Keep later demands off the hosts that will have room for a gang soonest."""
-    names = demand.expired | (demand.allowed or frozenset())
-    pool = [by_host[host] for host in names if host in by_host]
+    pool = [by_host[host] for host in demand.known if host in by_host]
     if demand.allowed is None:
         pool = list(by_host.values())
+    if not pool:
+        return 0
     pool = [
         space
         for space in pool
-        if not space.reserved
+        if space.reserved_for is None
         and demand.need.fits_in(space.total)
         and (not demand.label or demand.label in space.labels)
     ]
@@ -273,6 +280,6 @@
     for space in pool:
         if missing <= 0:
             break
-        space.reserved = True
+        space.reserved_for = demand.key
         missing -= space.total.times_contained(demand.need)
     return 1
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -12,7 +12,8 @@
 from primrosehub.core.logs import log
 from primrosehub.core.resources import NOTHING, Resources
 from primrosehub.kernel.clock import steady_s, unix_ms
-from primrosehub.policy.advice_choice import hosts_to_name, room_for
+from primrosehub.policy.advice_choice import hosts_to_name
+from primrosehub.policy.advice_need import AdviceWanted, wanted_advice
 from primrosehub.policy.host_pace import relative_slowness, slowness
 from primrosehub.policy.packing import (
     QUICK_S,
@@ -125,21 +126,12 @@
     ) -> None:
         demands = []
         for step in steps:
-            advised = bool(step.job.queue and step.job.queue.advice)
-            if advised and step.allowed is None:
-                self._ask_about(step, spaces, now, free_only=False)
-            else:
-                demands.append(_demand(step, advised, now))
+            demands.append(_demand(step, now))
         result = plan(demands, spaces, teams)
         self._send(result.placements)
         self._report.note(result, steps, now)
-        for step in result.lacking_tickets:
-            self._ask_advice(step, sorted(step.allowed or ()), AdviceCause.RENEWAL, now)
-        for step in result.unplaced:
-            if step.job.queue and step.job.queue.advice:
-                known = step.allowed or frozenset()
-                short = room_for(step.spec.need, known, spaces) < len(step.waiting)
-                self._ask_about(step, spaces, now, free_only=not short)
+        for wanted in wanted_advice(result.unplaced, spaces, teams):
+            self._ask_for(wanted, spaces, now)
 
     def _send(self, placements: tuple[Placement, ...]) -> None:
         term = self._term
@@ -159,36 +151,35 @@
             session.bound[task] = None
             session.start(task)
 
-    def _ask_about(
-        self, step: StepRun, spaces: list[HostSpace], now: float, free_only: bool
+    def _ask_for(
+        self, wanted: AdviceWanted, spaces: list[HostSpace], now: float
     ) -> None:
-        """Ask about hosts that the step has not been asked about yet."""
-        spec = step.spec
-        quick = spec.estimate_s < QUICK_S
+        step: StepRun = wanted.key
+        known = step.allowed or frozenset()
+        if wanted.hosts and wanted.hosts <= known:
+            self._ask(step, sorted(known), AdviceCause.RENEWAL, now)
+            return
+        cause = AdviceCause.FIRST if step.allowed is None else AdviceCause.MORE_HOSTS
+        # A step that lacks hosts for good learns of full ones too.
+        free_only = bool(wanted.hosts) and cause is AdviceCause.MORE_HOSTS
         hosts = hosts_to_name(
-            spec.need,
+            step.spec.need,
             len(step.waiting),
-            spec.label,
-            quick,
+            step.spec.label,
+            step.spec.estimate_s < QUICK_S,
             spaces,
             step.asked,
             free_only,
         )
-        cause = AdviceCause.FIRST if step.allowed is None else AdviceCause.MORE_HOSTS
-        if self._ask_advice(step, hosts, cause, now):
-            step.asked.update(hosts)
+        if hosts:
+            self._ask(step, hosts, cause, now)
 
-    def _ask_advice(
+    def _ask(
         self, step: StepRun, hosts: list[str], cause: AdviceCause, now: float
-    ) -> bool:
-        cost = step.job.queue.advice if step.job.queue else None
-        if not hosts or cost is None:
-            return False
-        if step.advising or now - step.advised_at < READVISE_S:
-            return False
+    ) -> None:
         step.advising, step.advised_at = True, now
+        cost = step.job.queue.advice
         self._term.tasks.spawn("advice", self._advise, step, cost, hosts, cause)
-        return True
 
     def _advise(
         self, step: StepRun, cost: AdviceCost, hosts: list[str], cause: AdviceCause
@@ -206,8 +197,8 @@
             step.advising = False
         step.advised_at = steady_s()
         if advice is None:
-            step.asked.difference_update(hosts)
             return
+        step.asked.update(hosts)
         until = step.advised_at + (advice.valid_s or cost.valid_s)
         for host, value in advice.tickets.items():
             step.tickets[host] = Ticket(value, until)
@@ -260,21 +251,22 @@
     return TeamRoom(left, limits)
 
 
-def _demand(step: StepRun, advised: bool, now: float) -> Demand:
+def _demand(step: StepRun, now: float) -> Demand:
     waiting = step.waiting
     placed: dict[str, int] = {}
     if step.spec.max_per_host:
         for task in step.tasks:
             if task.host:
                 placed[task.host] = placed.get(task.host, 0) + 1
-    allowed, expired = None, frozenset()
-    if advised:
+    allowed, expired, refused = None, frozenset(), frozenset()
+    if step.job.queue and step.job.queue.advice:
         allowed = frozenset(
             host
             for host, ticket in step.tickets.items()
             if ticket.valid_until - now > TICKET_MARGIN_S
         )
-        expired = (step.allowed or frozenset()) - allowed
+        known = step.allowed or frozenset()
+        expired, refused = known - allowed, step.asked - known
     return Demand(
         key=step,
         team=step.job.accepted.team,
@@ -288,6 +280,8 @@
         failed_on={task.id.index: task.failed_on for task in waiting if task.failed_on},
         allowed=allowed,
         expired=expired,
+        refused=frozenset(refused),
+        may_ask=not step.advising and now - step.advised_at >= READVISE_S,
         placed=placed,
         estimate_s=step.spec.estimate_s,
     )
--- a/src/primrosehub/services/_wait_report.py
+++ b/src/primrosehub/services/_wait_report.py
@@ -21,12 +21,10 @@
 
     def note(self, plan: Plan, steps: Sequence[StepRun], now: float) -> None:
         """Take note of what a plan left waiting, in the order of service."""
-        for reason, waiting in (
-            ("team_limit", plan.limited),
-            ("room", plan.unplaced),
-        ):
-            for step in waiting:
-                self._explain(step, reason, now)
+        for step in plan.limited:
+            self._explain(step, "team_limit", now)
+        for demand in plan.unplaced:
+            self._explain(demand.key, "room" if demand.may_ask else "advice", now)
         if now - self._totalled_at >= EXPLAIN_S:
             self._totalled_at = now
             self._total(plan, steps, now)
@@ -51,9 +49,9 @@
     def _total(self, plan: Plan, steps: Sequence[StepRun], now: float) -> None:
         totals = {
             "team_limit": len(plan.limited),
-            "room": len(plan.unplaced),
+            "room": sum(demand.may_ask for demand in plan.unplaced),
             "first_advice": sum(_lacks_advice(step) for step in steps),
-            "under_advice": sum(step.advising for step in steps),
+            "advice": sum(step.advising for step in steps),
         }
         for reason, count in totals.items():
             self._metrics.gauge("steps_waiting", count, reason=reason)
