Name as many hosts in a call for advice as cost little beside the decision

A call for a long job takes 0.6 s, of which the hosts named are a small part, and named as few as the step needed if a third of them are allowed. Cause: the number named was weighed by what a host adds to the call, not by what another call costs.

Now a call names further hosts, full ones last, while they add less than 0.3 of the time that the decision takes by itself. The fixed least number and the rule about full hosts are gone. test_a_slow_decision_is_asked_about_more_hosts_at_once failed before (6 hosts).

--- a/src/primrosehub/policy/advice_choice.py
+++ b/src/primrosehub/policy/advice_choice.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from primrosehub.core.clusterconfig import AdviceCost
 from primrosehub.core.resources import Resources
 from primrosehub.policy.packing import HostSpace
 
 ALLOWED_SHARE = 0.35  # the least share of named hosts that the sites' advice allows
 MARGIN = 1.3  # so that one call mostly names enough
-MIN_NAMED = 6
+# Of the time that a decision takes by itself, spent on naming hosts beyond the need:
+# a second call would cost that time again.
+EXTRA_SHARE = 0.3
 MAX_NAMED = 100  # the advice service's own bound on one call
 
 
@@ -18,13 +21,19 @@
     quick: bool,
     spaces: list[HostSpace],
     asked: set[str],
-    free_only: bool,
+    cost: AdviceCost,
 ) -> list[str]:
     """Return hosts that probably hold room for ``count`` tasks once advised.
 
     Hosts with free room come first, for a quick task the fastest of them. A call
-    takes longer with each host named, so no more are named than needed.
+    takes longer with each host named, so beyond the need only as many are named as
+    add little to it.
     """
+    cheap = (
+        int(EXTRA_SHARE * cost.decide_s / cost.per_host_s)
+        if cost.per_host_s
+        else MAX_NAMED
+    )
     fitting = [
         space
         for space in spaces
@@ -34,12 +43,12 @@
     ]
     free = [space for space in fitting if space.fits(need)]
     free.sort(key=lambda space: (space.risk, space.slowness if quick else 0.0))
-    full = [] if free_only else [space for space in fitting if not space.fits(need)]
+    full = [space for space in fitting if not space.fits(need)]
     full.sort(key=lambda space: -space.cpu_m)
     wanted = count * MARGIN / ALLOWED_SHARE
     named: list[str] = []
     for space in [*free, *full]:
-        enough = wanted <= 0 and len(named) >= MIN_NAMED
+        enough = wanted <= 0 and len(named) >= cheap
         if enough or len(named) >= MAX_NAMED:
             break
         named.append(space.host)
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -164,8 +164,6 @@
             self._ask(step, sorted(known), AdviceCause.RENEWAL, now)
             return
         cause = AdviceCause.FIRST if step.allowed is None else AdviceCause.MORE_HOSTS
-        # A step that lacks hosts for good learns of full ones too.
-        free_only = bool(wanted.hosts) and cause is AdviceCause.MORE_HOSTS
         hosts = hosts_to_name(
             step.spec.need,
             len(step.waiting),
@@ -173,7 +171,7 @@
             step.spec.estimate_s < QUICK_S,
             spaces,
             step.asked,
-            free_only,
+            step.job.queue.advice,
         )
         if hosts:
             self._ask(step, hosts, cause, now)
--- /dev/null
+++ b/testing/policy/test_advice_choice.py
@@ -0,0 +1,30 @@
+from testing.builders.cluster import a_space, an_advice_cost
+
+from primrosehub.core.resources import Resources
+from primrosehub.policy.advice_choice import hosts_to_name
+
+NEED = Resources(1000, 256)
+
+
+def some_spaces(count):
+    return [a_space(f"h{number}") for number in range(count)]
+
+
+def named(spaces, count=1, decide_s=0.01, asked=(), need=NEED):
+    cost = an_advice_cost(decide_s)
+    return hosts_to_name(need, count, "", False, spaces, set(asked), cost)
+
+
+def test_a_call_names_enough_hosts_for_all_tasks():
+    assert len(named(some_spaces(30), count=32, decide_s=0.0)) == 15
+
+
+def test_a_slow_decision_is_asked_about_more_hosts_at_once():
+    assert len(named(some_spaces(30))) == 3
+    assert len(named(some_spaces(30), decide_s=0.05)) == 15
+
+
+def test_hosts_with_free_room_are_named_first_and_asked_ones_not_again():
+    spaces = some_spaces(4)
+    spaces[0].take(Resources(8000))
+    assert named(spaces, asked=("h1",)) == ["h2", "h3", "h0"]
