--- a/src/primrosehub/policy/own_pace.py
+++ b/src/primrosehub/policy/own_pace.py
@@ -20,11 +20,15 @@
 
     def note(self, took_s: float) -> None:
         """Take note of how long the work took."""
-        usual = min(self.samples, default=took_s)
-        slow = len(self.samples) >= MIN_SAMPLES and took_s > SLOW_FACTOR * usual
+        slow = len(self.samples) >= MIN_SAMPLES and took_s > SLOW_FACTOR * self.usual_s
         self.slow_in_a_row = self.slow_in_a_row + 1 if slow else 0
         self.samples.append(took_s)
 
+    @property
+    def usual_s(self) -> float:
+        """Return the time that the work takes when nothing slows it."""
+        return min(self.samples, default=0.0)
+
     @property
     def slow(self) -> bool:
         """Tell whether the processor has been slow for some samples."""
--- a/src/primrosehub/services/ownership.py
+++ b/src/primrosehub/services/ownership.py
@@ -181,7 +181,13 @@
             was_slow = self._pace.slow
             self._pace.note(min(_time_fixed_work() for _ in range(PACE_REPEATS)))
             if self._pace.slow != was_slow:
-                log("own_pace", slow=self._pace.slow, leading=self._leading)
+                log(
+                    "own_pace",
+                    slow=self._pace.slow,
+                    leading=self._leading,
+                    latest_us=[round(s * 1e6) for s in self._pace.samples][-5:],
+                    usual_us=round(self._pace.usual_s * 1e6),
+                )
             if self._pace.slow and self._leading and self._may_yield():
                 self._yielded_at = steady_s()
                 self._hand_over()
