Keep room for a gang from later steps only when advice is asked for

Its class: a decision that depends on the order of service, taken from a state that no longer knows the order.

Now a plan returns what waits in its order, and asking keeps and reserves again as it goes along. test_a_teams_room_is_kept_for_a_gang_from_later_steps_only and test_hosts_are_reserved_for_a_gang_from_later_steps_only failed before.

--- a/src/primrosehub/policy/advice_need.py
+++ b/src/primrosehub/policy/advice_need.py
@@ -26,22 +26,27 @@
 
 
 def wanted_advice(
-    unplaced: Sequence[Demand], spaces: list[HostSpace], teams: TeamRoom
+    waiting: Sequence[Demand], spaces: list[HostSpace], teams: TeamRoom
 ) -> Iterator[AdviceWanted]:
     """Yield what to ask, in the order of the demands.
 
     ``spaces`` and ``teams`` hold what a plan has left. Each step that may start once it
     is advised uses up what it needs of them, so that no later one asks for the same.
+    What is kept for a gang is kept from later steps only.
     """
     by_host = {space.host: space for space in spaces}
-    teams = teams.copy()
-    for demand in unplaced:
+    teams = teams.copy_without_kept()
+    later = {demand.key for demand in waiting}
+    for demand in waiting:
+        later.discard(demand.key)
         if demand.allowed is None:
             continue
         count = min(len(demand.tasks), teams.times(demand.team, demand.need))
         if count == 0 or (demand.gang and count < len(demand.tasks)):
+            if demand.gang:
+                teams.keep_for(demand)
             continue
-        hosts = _promise(demand, by_host, count)
+        hosts = _promise(demand, by_host, count, later)
         teams.take(demand.team, demand.need, len(hosts))
         if not demand.may_ask:
             continue
@@ -49,12 +54,14 @@
             yield AdviceWanted(demand.key, frozenset(hosts))
 
 
-def _promise(demand: Demand, by_host: dict[str, HostSpace], count: int) -> list[str]:
+def _promise(
+    demand: Demand, by_host: dict[str, HostSpace], count: int, later: set[object]
+) -> list[str]:
     """Take room on hosts that are allowed, or on any that may turn out to be."""
-    chosen = choose(demand, candidates(demand, by_host, demand.known), count)
+    chosen = choose(demand, candidates(demand, by_host, demand.known, later), count)
     if not chosen:
         possible = [host for host in by_host if host not in demand.refused]
-        chosen = choose(demand, candidates(demand, by_host, possible), count)
+        chosen = choose(demand, candidates(demand, by_host, possible, later), count)
     return [space.host for _, space in chosen]
 
 
--- a/src/primrosehub/policy/packing.py
+++ b/src/primrosehub/policy/packing.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field, replace
 
-from primrosehub.core.resources import NOTHING, Resources
+from primrosehub.core.resources import Resources
 
 BACKLOG_SCAN = 400  # demands looked at in one pass, so that a pass stays short
 QUICK_S = 1.5  # tasks estimated below this go where they end soonest
@@ -103,12 +103,12 @@
 class Plan:
     """Hold the placements, and which demands were not placed whole.
 
-    ``unplaced`` holds them with the tasks that remain; those in ``limited`` wait for
-    their team's limit.
+    ``waiting`` holds them in their order, with the tasks that remain; ``limited`` the
+    keys of those that wait for their team's limit.
     """
 
     placements: tuple[Placement, ...]
-    unplaced: tuple[Demand, ...] = ()
+    waiting: tuple[Demand, ...] = ()
     limited: tuple[object, ...] = ()
 
 
@@ -120,9 +120,10 @@
     ) -> None:
         self._left = left
         self._limits = limits
+        self._kept: set[str] = set()
 
-    def copy(self) -> TeamRoom:
-        """Return the same room, to be used up separately."""
+    def copy_without_kept(self) -> TeamRoom:
+        """Return the same room, with nothing kept for gangs, to be used separately."""
         return TeamRoom(dict(self._left), self._limits)
 
     def times(self, team: str, need: Resources) -> int:
@@ -130,6 +131,8 @@
         left, limit = self._left.get(team), self._limits.get(team)
         if left is None or limit is None:
             return 1 << 30
+        if team in self._kept:
+            return 0
         counts = [
             room // size
             for room, size, bound in (
@@ -150,20 +153,21 @@
         """Let no later demand of the team start if this one could run alone."""
         whole = TeamRoom(self._limits, self._limits)
         if whole.times(demand.team, demand.need) >= len(demand.tasks):
-            self._left[demand.team] = NOTHING
+            self._kept.add(demand.team)
 
 
 def plan(demands: list[Demand], spaces: list[HostSpace], teams: TeamRoom) -> Plan:
     """Place as many tasks as fit, in the order of the demands."""
     by_host = {space.host: space for space in spaces}
     placements: list[Placement] = []
-    unplaced: list[Demand] = []
+    waiting: list[Demand] = []
     limited: list[object] = []
     reservations = 0
     for demand in demands[:BACKLOG_SCAN]:
         count = min(len(demand.tasks), teams.times(demand.team, demand.need))
         if count == 0 or (demand.gang and count < len(demand.tasks)):
             limited.append(demand.key)
+            waiting.append(demand)
             if demand.gang:
                 teams.keep_for(demand)
             continue
@@ -175,16 +179,22 @@
             continue
         started = {task for task, _ in chosen}
         remaining = [task for task in demand.tasks if task not in started]
-        unplaced.append(replace(demand, tasks=remaining))
+        waiting.append(replace(demand, tasks=remaining))
         if demand.gang and reservations < RESERVATIONS:
             reservations += _reserve(demand, by_host)
-    return Plan(tuple(placements), tuple(unplaced), tuple(limited))
+    return Plan(tuple(placements), tuple(waiting), tuple(limited))
 
 
 def candidates(
-    demand: Demand, by_host: dict[str, HostSpace], hosts: Iterable[str] | None
+    demand: Demand,
+    by_host: dict[str, HostSpace],
+    hosts: Iterable[str] | None,
+    later: Container[object] = (),
 ) -> list[HostSpace]:
-    """Return those of the hosts, None for any, on which one task fits."""
+    """Return those of the hosts, None for any, on which one task fits.
+
+    A reservation for one of ``later``, keys of demands that come later, does not count.
+    """
     if hosts is None:
         pool = list(by_host.values())
     else:
@@ -192,7 +202,7 @@
     return [
         space
         for space in pool
-        if space.reserved_for in (None, demand.key)
+        if (space.reserved_for in (None, demand.key) or space.reserved_for in later)
         and space.fits(demand.need)
         and (not demand.label or demand.label in space.labels)
     ]
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -133,7 +133,7 @@
         self._send(result.placements)
         self._report.note(result, steps, now)
         most = term.advising.callers
-        wanted = wanted_advice(result.unplaced, spaces, teams)
+        wanted = wanted_advice(result.waiting, spaces, teams)
         while self._calls < most and (one := next(wanted, None)) is not None:
             self._ask_for(one, spaces, now)
 
--- a/src/primrosehub/services/_wait_report.py
+++ b/src/primrosehub/services/_wait_report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 
 from primrosehub.core.logs import log
@@ -21,13 +22,18 @@
 
     def note(self, plan: Plan, steps: Sequence[StepRun], now: float) -> None:
         """Take note of what a plan left waiting, in the order of service."""
-        for step in plan.limited:
-            self._explain(step, "team_limit", now)
-        for demand in plan.unplaced:
-            self._explain(demand.key, "room" if demand.may_ask else "advice", now)
+        limited = set(plan.limited)
+        totals = Counter(team_limit=0, room=0, advice=0)
+        for demand in plan.waiting:
+            if demand.key in limited:
+                reason = "team_limit"
+            else:
+                reason = "room" if demand.may_ask else "advice"
+            totals[reason] += 1
+            self._explain(demand.key, reason, now)
         if now - self._totalled_at >= EXPLAIN_S:
             self._totalled_at = now
-            self._total(plan, steps, now)
+            self._total(totals, steps, now)
 
     def _explain(self, step: StepRun, reason: str, now: float) -> None:
         if step.unplaced_since is None:
@@ -46,13 +52,10 @@
             advising=step.advising,
         )
 
-    def _total(self, plan: Plan, steps: Sequence[StepRun], now: float) -> None:
-        totals = {
-            "team_limit": len(plan.limited),
-            "room": sum(demand.may_ask for demand in plan.unplaced),
-            "first_advice": sum(_lacks_advice(step) for step in steps),
-            "advice": sum(step.advising for step in steps),
-        }
+    def _total(
+        self, totals: Counter[str], steps: Sequence[StepRun], now: float
+    ) -> None:
+        totals["never_advised"] = sum(_lacks_advice(step) for step in steps)
         for reason, count in totals.items():
             self._metrics.gauge("steps_waiting", count, reason=reason)
         oldest_s = max((now - step.job.submitted_at for step in steps), default=0.0)
--- a/testing/policy/test_advice_need.py
+++ b/testing/policy/test_advice_need.py
@@ -15,7 +15,7 @@
 
 def wanted(demands, spaces, teams=NO_LIMITS):
     result = plan(demands, spaces, teams)
-    return list(wanted_advice(result.unplaced, spaces, teams))
+    return list(wanted_advice(result.waiting, spaces, teams))
 
 
 def test_a_step_that_only_lacks_tickets_is_named():
@@ -83,3 +83,20 @@
     busy.take(Resources(4000), -1)
     (one,) = wanted([waiting], [busy])
     assert one == AdviceWanted("gang", frozenset({"h1"}))
+
+
+def test_a_teams_room_is_kept_for_a_gang_from_later_steps_only():
+    teams = TeamRoom({"blue": Resources(3000)}, {"blue": Resources(9000)})
+    first, last = (an_advised_demand(cpu_m=1000, key=key) for key in ("first", "last"))
+    gang = an_advised_demand(4, 1000, gang=True, key="gang")
+    assert [one.key for one in wanted([first, gang, last], [a_space()], teams)] == [
+        "first"
+    ]
+
+
+def test_hosts_are_reserved_for_a_gang_from_later_steps_only():
+    busy = a_space()
+    busy.take(Resources(5000))
+    first, last = (an_advised_demand(cpu_m=1000, key=key) for key in ("first", "last"))
+    gang = an_advised_demand(2, 4000, gang=True, expired={"h1"}, key="gang")
+    assert [one.key for one in wanted([first, gang, last], [busy])] == ["first"]
