Count teams' shares in the order of submission after a take-over

Its time then jumps back and forth, which takes the team's tokens, so after each take-over open jobs of a team within its share are served after everybody's, by chance of their ids; callers see jobs accepted before a restart pass behind later ones. At run time a job told by a slower daemon after a later one had the same effect, smaller.

Rows are now noted in the order of submission, and the meter's time never goes back. test_jobs_within_their_teams_share_stay_so_after_a_take_over and test_a_job_that_is_learned_after_a_later_one_is_within_its_teams_share failed before.

--- a/src/primrosehub/policy/urgency.py
+++ b/src/primrosehub/policy/urgency.py
@@ -50,8 +50,10 @@
     def note_job(self, now: float, weight: float) -> bool:
         """Take note of a job; tell whether it is beyond the team's share."""
         burst = max(1.0, 2 * weight)
-        self.tokens = min(burst, self.tokens + (now - self.at) * weight)
-        self.at = now
+        # Daemons tell the owner of their jobs each in its own time.
+        latest = max(self.at, now)
+        self.tokens = min(burst, self.tokens + (latest - self.at) * weight)
+        self.at = latest
         if self.tokens < 1.0:
             return True
         self.tokens -= 1.0
--- a/src/primrosehub/services/_term_rows.py
+++ b/src/primrosehub/services/_term_rows.py
@@ -85,10 +85,16 @@
         progress = {}
         for row in pages[(PROGRESS_TABLE, OWNER_PART)].rows:
             progress[row.key.key] = decode(JobProgress, row.value)
-        for (table, _), page in pages.items():
-            if table == JOB_TABLE:
-                for row in page.rows:
-                    self._add_job(row, progress.get(row.key.key), True)
+        jobs = [
+            job
+            for (table, _), page in pages.items()
+            if table == JOB_TABLE
+            for row in page.rows
+            if (job := _decode_job(row)) is not None
+        ]
+        # The shares of teams are counted in the order of submission.
+        for job in sorted(jobs, key=lambda job: job.accepted_ms):
+            self._term.add_job(job, progress.get(job.job), True)
         for (table, _), page in pages.items():
             if table == CANCEL_TABLE:
                 for row in page.rows:
@@ -149,18 +155,11 @@
             return version
 
     def _note_job_row(self, row: StoredRow) -> None:
-        if not row.deleted and row.key.key not in self._term.book.jobs:
-            self._add_job(row, None, False)
-
-    def _add_job(
-        self, row: StoredRow, progress: JobProgress | None, at_take_over: bool
-    ) -> None:
-        try:
-            accepted = decode(AcceptedJob, row.value)
-        except ValueError as error:
-            log("job_row_unreadable", job=row.key.key, reason=str(error)[:200])
+        if row.deleted or row.key.key in self._term.book.jobs:
             return
-        self._term.add_job(accepted, progress, at_take_over)
+        job = _decode_job(row)
+        if job is not None:
+            self._term.add_job(job, None, False)
 
     def _note_cancel_row(self, row: StoredRow) -> None:
         if not row.deleted:
@@ -197,3 +196,11 @@
             if host not in listed and session.listed:
                 session.listed, session.unlisted_at = False, now
                 log("host_unlisted", host=host, running=len(session.bound))
+
+
+def _decode_job(row: StoredRow) -> AcceptedJob | None:
+    try:
+        return decode(AcceptedJob, row.value)
+    except ValueError as error:
+        log("job_row_unreadable", job=row.key.key, reason=str(error)[:200])
+        return None
--- a/testing/builders/cluster.py
+++ b/testing/builders/cluster.py
@@ -26,9 +26,9 @@
     return StepSpec(tasks=tasks, need=Resources(cpu_m, 256), **fields)
 
 
-def an_accepted_job(*steps, job=JOB, team="blue", queue="quotes", **fields):
+def an_accepted_job(*steps, job=JOB, team="blue", queue="quotes", at_ms=0, **fields):
     spec = BatchSpec("run 1", steps or (a_step(),), **fields)
-    return AcceptedJob(job, team, queue, "workshop", 0, spec)
+    return AcceptedJob(job, team, queue, "workshop", at_ms, spec)
 
 
 def a_queue(max_attempts=3, **fields):
@@ -51,8 +51,8 @@
     return AdviceCost(decide_s, per_host_s=0.001, valid_s=2.0)
 
 
-def a_config(*queues, limit=NOTHING):
-    team = TeamEntitlement("blue", weight=100.0, limit=limit)
+def a_config(*queues, limit=NOTHING, weight=100.0):
+    team = TeamEntitlement("blue", weight=weight, limit=limit)
     return ClusterConfig(1, queues or (a_queue(),), {"blue": team})
 
 
--- a/testing/policy/test_host_beliefs.py
+++ b/testing/policy/test_host_beliefs.py
@@ -86,3 +86,9 @@
     marks = [meter.note_job(0.0, 2.0) for _ in range(5)]
     assert marks == [False, False, False, False, True]
     assert not meter.note_job(1.0, 2.0)
+
+
+def test_a_job_that_is_learned_after_a_later_one_is_within_its_teams_share():
+    meter = ShareMeter()
+    assert not meter.note_job(9.0, 1.0)
+    assert not meter.note_job(8.5, 1.0)
