--- a/src/primrosehub/policy/advice_need.py
+++ b/src/primrosehub/policy/advice_need.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
+from primrosehub.core.resources import Resources
 from primrosehub.policy.packing import (
     Demand,
     HostSpace,
@@ -37,6 +38,7 @@
     by_host = {space.host: space for space in spaces}
     teams = teams.copy_without_kept()
     later = {demand.key for demand in waiting}
+    widest = _widest(spaces)
     for demand in waiting:
         later.discard(demand.key)
         if demand.allowed is None:
@@ -46,7 +48,9 @@
             if demand.gang:
                 teams.keep_for(demand)
             continue
-        hosts = _promise(demand, by_host, count, later)
+        hosts = []
+        if demand.need.fits_in(widest):
+            hosts = _promise(demand, by_host, count, later)
         teams.take(demand.team, demand.need, len(hosts))
         if not demand.may_ask:
             continue
@@ -54,6 +58,18 @@
             yield AdviceWanted(demand.key, frozenset(hosts))
 
 
+def _widest(spaces: Sequence[HostSpace]) -> Resources:
+    """Return the most that is free of each resource on any host.
+
+    While the hosts are full, most steps are passed over by this alone.
+    """
+    return Resources(
+        max((space.cpu_m for space in spaces), default=0),
+        max((space.memory_mb for space in spaces), default=0),
+        max((space.accelerators for space in spaces), default=0),
+    )
+
+
 def _promise(
     demand: Demand, by_host: dict[str, HostSpace], count: int, later: set[object]
 ) -> list[str]:
