Name the hosts that a step is to start on before all others

Found while reading the change: the pass that decides what to ask takes the room that it promises, so the host with the last free room counted as full when the hosts to name were chosen. Now the hosts promised are named first, the known ones among them too, whose tickets are renewed by the same call.

test_the_only_host_with_room_is_asked_about failed before (h0 to h3 asked instead of h29).

--- a/src/primrosehub/policy/advice_choice.py
+++ b/src/primrosehub/policy/advice_choice.py
@@ -21,13 +21,14 @@
     quick: bool,
     spaces: list[HostSpace],
     asked: set[str],
+    first: frozenset[str],
     cost: AdviceCost,
 ) -> list[str]:
     """Return hosts that probably hold room for ``count`` tasks once advised.
 
-    Hosts with free room come first, for a quick task the fastest of them. A call
-    takes longer with each host named, so beyond the need only as many are named as
-    add little to it.
+    After the hosts in ``first`` come those with free room, for a quick task the fastest
+    of them, then full ones, none of them ``asked`` about before. A call takes longer
+    with each host named, so beyond the need only as many are named as add little to it.
     """
     cheap = (
         int(EXTRA_SHARE * cost.decide_s / cost.per_host_s)
@@ -38,6 +39,7 @@
         space
         for space in spaces
         if space.host not in asked
+        and space.host not in first
         and need.fits_in(space.total)
         and (not label or label in space.labels)
     ]
@@ -46,7 +48,7 @@
     full = [space for space in fitting if not space.fits(need)]
     full.sort(key=lambda space: -space.cpu_m)
     wanted = count * MARGIN / ALLOWED_SHARE
-    named: list[str] = []
+    named = sorted(first)
     for space in [*free, *full]:
         enough = wanted <= 0 and len(named) >= cheap
         if enough or len(named) >= MAX_NAMED:
--- /dev/null
+++ b/src/primrosehub/services/_advice_calls.py
@@ -0,0 +1,111 @@
+"""Calls for advice about waiting steps, as many at once as daemons can make."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from gevent.event import Event
+
+from primrosehub.core.clusterconfig import AdviceCost
+from primrosehub.core.fleet import AdviceCause, Ticket
+from primrosehub.core.logs import log
+from primrosehub.kernel.clock import steady_s
+from primrosehub.policy.advice_choice import hosts_to_name
+from primrosehub.policy.advice_need import AdviceWanted
+from primrosehub.policy.packing import QUICK_S, HostSpace
+from primrosehub.services._job_book import StepRun
+
+if TYPE_CHECKING:
+    from primrosehub.services._owner_term import OwnerTerm
+
+READVISE_S = 0.3  # between calls for one step
+
+
+class AdviceCalls:
+    """Count the calls under way; set ``answered`` when one ends.
+
+    What can't be asked yet is not queued here: the next plan wants it again, in the
+    order of service of that moment.
+    """
+
+    def __init__(self, term: OwnerTerm, answered: Event) -> None:
+        self._term = term
+        self._answered = answered
+        self._under_way = 0
+
+    def make(
+        self, wanted: Iterator[AdviceWanted], spaces: list[HostSpace], now: float
+    ) -> None:
+        """Ask for what is wanted first, while daemons are free to ask."""
+        most = self._term.advising.callers
+        while self._under_way < most and (one := next(wanted, None)) is not None:
+            self._make_one(one, spaces, now)
+
+    def _make_one(
+        self, wanted: AdviceWanted, spaces: list[HostSpace], now: float
+    ) -> None:
+        step: StepRun = wanted.key
+        known = step.allowed or frozenset()
+        if wanted.hosts and wanted.hosts <= known:
+            self._spawn(step, sorted(known), AdviceCause.RENEWAL, now)
+            return
+        cause = AdviceCause.FIRST if step.allowed is None else AdviceCause.MORE_HOSTS
+        hosts = hosts_to_name(
+            step.spec.need,
+            len(step.waiting),
+            step.spec.label,
+            step.spec.estimate_s < QUICK_S,
+            spaces,
+            step.asked,
+            wanted.hosts,
+            step.job.queue.advice,
+        )
+        if hosts:
+            self._spawn(step, hosts, cause, now)
+
+    def _spawn(
+        self, step: StepRun, hosts: list[str], cause: AdviceCause, now: float
+    ) -> None:
+        step.advising, step.advised_at = True, now
+        self._under_way += 1
+        cost = step.job.queue.advice
+        self._term.tasks.spawn("advice", self._advise, step, cost, hosts, cause)
+
+    def _advise(
+        self, step: StepRun, cost: AdviceCost, hosts: list[str], cause: AdviceCause
+    ) -> None:
+        began = steady_s()
+        try:
+            advice = self._term.advising.advise(
+                step.job.accepted.job,
+                step.occurrence,
+                step.number,
+                hosts,
+                cost.decide_s + cost.per_host_s * len(hosts),
+            )
+        finally:
+            step.advising = False
+            self._under_way -= 1
+            self._answered.set()
+        step.advised_at = steady_s()
+        if advice is None:
+            return
+        step.asked.update(hosts)
+        until = step.advised_at + (advice.valid_s or cost.valid_s)
+        for host, value in advice.tickets.items():
+            step.tickets[host] = Ticket(value, until)
+        step.allowed = (step.allowed or frozenset()) | frozenset(advice.tickets)
+        self._term.metrics.observe(
+            "advice_seconds", step.advised_at - began, cause=str(cause)
+        )
+        log(
+            "advised",
+            job=step.job.accepted.job,
+            step=step.number,
+            cause=cause,
+            age_ms=round((step.advised_at - step.job.submitted_at) * 1000),
+            asked=len(hosts),
+            allowed=len(advice.tickets),
+            took_ms=round((step.advised_at - began) * 1000),
+        )
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -7,16 +7,12 @@
 import gevent
 from gevent.event import Event
 
-from primrosehub.core.clusterconfig import AdviceCost, ClusterConfig
-from primrosehub.core.fleet import AdviceCause, Ticket
-from primrosehub.core.logs import log
+from primrosehub.core.clusterconfig import ClusterConfig
 from primrosehub.core.resources import NOTHING, Resources
 from primrosehub.kernel.clock import steady_s, unix_ms
-from primrosehub.policy.advice_choice import hosts_to_name
-from primrosehub.policy.advice_need import AdviceWanted, wanted_advice
+from primrosehub.policy.advice_need import wanted_advice
 from primrosehub.policy.host_pace import relative_slowness, slowness
 from primrosehub.policy.packing import (
-    QUICK_S,
     Demand,
     HostSpace,
     Placement,
@@ -24,6 +20,7 @@
     plan,
 )
 from primrosehub.policy.urgency import Urgency, chain_after, objective_s, urgency
+from primrosehub.services._advice_calls import READVISE_S, AdviceCalls
 from primrosehub.services._host_session import HostSession
 from primrosehub.services._job_book import StepRun, TaskPhase
 from primrosehub.services._wait_report import WaitReport
@@ -35,7 +32,6 @@
 GATHER_SHARE = 3.0  # of a plan's own time, so that plans take a quarter of the time
 IDLE_S = 0.25  # plan at least so often: due times and suspensions pass unnoticed
 TICKET_MARGIN_S = 0.3  # a ticket must outlive the order's way to the host
-READVISE_S = 0.3  # between calls for one step
 LISTING_GRACE_S = 2.5
 _DEFAULT_TARGET_S = 1.0
 
@@ -47,7 +43,7 @@
         self._term = term
         self.changed = Event()
         self._report = WaitReport(term.metrics)
-        self._calls = 0
+        self._calls = AdviceCalls(term, self.changed)
         self._took_s = 0.0
 
     def run(self) -> None:
@@ -129,17 +125,10 @@
         spaces: list[HostSpace],
         teams: TeamRoom,
     ) -> None:
-        demands = []
-        for step in steps:
-            demands.append(_demand(step, now))
-        result = plan(demands, spaces, teams)
-        term = self._term
+        result = plan([_demand(step, now) for step in steps], spaces, teams)
         self._send(result.placements)
         self._report.note(result, steps, now)
-        most = term.advising.callers
-        wanted = wanted_advice(result.waiting, spaces, teams)
-        while self._calls < most and (one := next(wanted, None)) is not None:
-            self._ask_for(one, spaces, now)
+        self._calls.make(wanted_advice(result.waiting, spaces, teams), spaces, now)
 
     def _send(self, placements: tuple[Placement, ...]) -> None:
         term = self._term
@@ -159,73 +148,6 @@
             session.bound[task] = None
             session.start(task)
 
-    def _ask_for(
-        self, wanted: AdviceWanted, spaces: list[HostSpace], now: float
-    ) -> None:
-        step: StepRun = wanted.key
-        known = step.allowed or frozenset()
-        if wanted.hosts and wanted.hosts <= known:
-            self._ask(step, sorted(known), AdviceCause.RENEWAL, now)
-            return
-        cause = AdviceCause.FIRST if step.allowed is None else AdviceCause.MORE_HOSTS
-        hosts = hosts_to_name(
-            step.spec.need,
-            len(step.waiting),
-            step.spec.label,
-            step.spec.estimate_s < QUICK_S,
-            spaces,
-            step.asked,
-            step.job.queue.advice,
-        )
-        if hosts:
-            self._ask(step, hosts, cause, now)
-
-    def _ask(
-        self, step: StepRun, hosts: list[str], cause: AdviceCause, now: float
-    ) -> None:
-        step.advising, step.advised_at = True, now
-        self._calls += 1
-        cost = step.job.queue.advice
-        self._term.tasks.spawn("advice", self._advise, step, cost, hosts, cause)
-
-    def _advise(
-        self, step: StepRun, cost: AdviceCost, hosts: list[str], cause: AdviceCause
-    ) -> None:
-        began = steady_s()
-        try:
-            advice = self._term.advising.advise(
-                step.job.accepted.job,
-                step.occurrence,
-                step.number,
-                hosts,
-                cost.decide_s + cost.per_host_s * len(hosts),
-            )
-        finally:
-            step.advising = False
-            self._calls -= 1
-            self.changed.set()
-        step.advised_at = steady_s()
-        if advice is None:
-            return
-        step.asked.update(hosts)
-        until = step.advised_at + (advice.valid_s or cost.valid_s)
-        for host, value in advice.tickets.items():
-            step.tickets[host] = Ticket(value, until)
-        step.allowed = (step.allowed or frozenset()) | frozenset(advice.tickets)
-        self._term.metrics.observe(
-            "advice_seconds", step.advised_at - began, cause=str(cause)
-        )
-        log(
-            "advised",
-            job=step.job.accepted.job,
-            step=step.number,
-            cause=cause,
-            age_ms=round((step.advised_at - step.job.submitted_at) * 1000),
-            asked=len(hosts),
-            allowed=len(advice.tickets),
-            took_ms=round((step.advised_at - began) * 1000),
-        )
-
 
 def _service(step: StepRun, config: ClusterConfig) -> str:
     """Return the service of the step's queue now, or at submission if it is gone."""
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -99,6 +99,7 @@
     def __init__(self, callers=1):
         self.callers = callers
         self.calls = []
+        self.hosts_asked = set()
         self._held = {}
 
     @property
@@ -107,6 +108,7 @@
 
     def advise(self, job, occurrence, step, hosts, cost_s):
         self.calls.append(job)
+        self.hosts_asked.update(hosts)
         self._held[job] = Event()
         self._held[job].wait()
         del self._held[job]
--- a/testing/policy/test_advice_choice.py
+++ b/testing/policy/test_advice_choice.py
@@ -10,9 +10,10 @@
     return [a_space(f"h{number}") for number in range(count)]
 
 
-def named(spaces, count=1, decide_s=0.01, asked=(), need=NEED):
+def named(spaces, count=1, decide_s=0.01, asked=(), first=()):
     cost = an_advice_cost(decide_s)
-    return hosts_to_name(need, count, "", False, spaces, set(asked), cost)
+    hosts = set(asked), frozenset(first)
+    return hosts_to_name(NEED, count, "", False, spaces, *hosts, cost)
 
 
 def test_a_call_names_enough_hosts_for_all_tasks():
@@ -28,3 +29,7 @@
     spaces = some_spaces(4)
     spaces[0].take(Resources(8000))
     assert named(spaces, asked=("h1",)) == ["h2", "h3", "h0"]
+
+
+def test_the_hosts_that_a_step_is_to_start_on_are_named_before_all_others():
+    assert named(some_spaces(4), first=("h3",)) == ["h3", "h0", "h1"]
--- a/testing/protocol/test_planner.py
+++ b/testing/protocol/test_planner.py
@@ -133,3 +133,12 @@
     cell.advising.answer(audits[0])
     cell.settle()
     assert cell.advising.calls == [audits[0], quick]
+
+
+def test_the_only_host_with_room_is_asked_about(cells):
+    cell = cells(hosts=30)
+    full = cell.start_all_over(0)
+    cell.end(full.tasks[-1])
+    cell.add(1, a_step(cpu_m=8000))
+    cell.settle()
+    assert "h29" in cell.advising.hosts_asked
