--- a/src/primrosehub_standins/hub_cell.py
+++ b/src/primrosehub_standins/hub_cell.py
@@ -16,6 +16,7 @@
 
 import gevent
 import orjson
+from gevent.event import Event
 
 from primrosehub.binaries.hub import MANIFEST, leave
 from primrosehub.border.http_client import HttpEndpoint, Response
@@ -103,6 +104,8 @@
         self.hosts = [WorkerHostStandin(f"i-{n}", self.journal) for n in range(hosts)]
         self.hubs: list[HubHandle] = []
         self.advised: list[Any] = []
+        self.advice_gate = Event()
+        self.advice_gate.set()
         self._servers: list[Any] = []
         self._addresses: dict[str, str] = {}
         self._next_job = random.getrandbits(40)
@@ -145,27 +148,31 @@
         hub.start()
         return hub
 
-    def configure(self, **changes: Any) -> None:
-        """Put a configuration of one queue, one team and one pool."""
-        self.version += 1
+    def route(self, name: str, target_ms: int = 500, decide_ms: int = 10) -> Any:
+        """Return a queue for a configuration."""
         route: dict[str, Any] = {
-            "name": "quotes",
+            "name": name,
             "host": HOST_NAME,
-            "prefix": PREFIX,
+            "prefix": f"/{name}/",
             "service": SERVICE,
             "max-attempts": 3,
             "slack-factor": 2.0,
-            "target-runtime-ms": 500,
+            "target-runtime-ms": target_ms,
         }
         if self._advice_on:
             route["recommendation"] = {
-                "decide-latency-ms": 10,
+                "decide-latency-ms": decide_ms,
                 "per-worker-ms": 1,
                 "validity-ms": 2000,
             }
+        return route
+
+    def configure(self, **changes: Any) -> None:
+        """Put a configuration of one queue, one team and one pool."""
+        self.version += 1
         config = {
             "version": self.version,
-            "routes": [route],
+            "routes": [self.route("quotes")],
             "services": [{"name": SERVICE}],
             "tenants": [{"name": "blue", "api-keys": [API_KEY], "weight": 50}],
         }
@@ -221,13 +228,17 @@
         return f"{self._next_job:016x}"
 
     def submit(
-        self, hub: HubHandle, *steps: dict[str, Any], spec: str = "run 0.1"
+        self,
+        hub: HubHandle,
+        *steps: dict[str, Any],
+        spec: str = "run 0.1",
+        prefix: str = PREFIX,
     ) -> str:
         """Submit a job that must be accepted; return its id."""
         job = self.new_id()
         phases = list(steps) or [{"count": 1, "cpu": 1000, "mem-mb": 256}]
         body = orjson.dumps({"spec": spec, "phases": phases})
-        answer = self.call(hub, "POST", PREFIX + job, body)
+        answer = self.call(hub, "POST", prefix + job, body)
         assert answer.status == 200, f"{answer.status} {answer.body!r}"
         return job
 
@@ -265,6 +276,7 @@
         body = json_of(environ)
         self.advised.append(body)
         gevent.sleep(0.01)
+        self.advice_gate.wait()
         allowed = [[host, f"ticket-{host}"] for host in body["workers"][:2]]
         return reply_json(start, {"allowed": allowed, "validity-ms": 2000})
 
--- a/testing/hub/test_jobs.py
+++ b/testing/hub/test_jobs.py
@@ -1,8 +1,9 @@
 """What each kind of job may and may not do, on whole daemons."""
 
 import gevent
+import orjson
 
-from primrosehub_standins.hub_cell import follower
+from primrosehub_standins.hub_cell import PREFIX, follower
 
 
 def test_a_job_of_two_steps_runs_in_order(start_hubs):
@@ -57,3 +58,29 @@
     allowed = set(cell.advised[0]["workers"][:2])
     assert {event.host for event in cell.starts(job)} <= allowed
     assert all("ticket" not in host.refusals for host in cell.hosts)
+
+
+def test_advice_for_a_quick_job_is_asked_for_before_that_for_long_jobs(start_hubs):
+    cell = start_hubs(hosts=4, advice=True)
+    # The decision takes so long that no held call is given up.
+    audits = cell.route("audits", target_ms=60_000, decide_ms=20_000)
+    cell.configure(routes=[cell.route("quotes"), audits])
+    leader = cell.leader()
+    cell.until(
+        lambda: cell.call(leader, "GET", "/audits/").status == 200, "no new queue"
+    )
+    cell.advice_gate.clear()
+    long = [cell.submit(leader, prefix="/audits/") for _ in range(8)]
+    quick = cell.submit(leader)
+    cell.until(
+        lambda: _pending(cell, "/audits/") == len(long) and _pending(cell, PREFIX) == 1,
+        "the owner was not told of all jobs",
+    )
+    cell.advice_gate.set()
+    cell.wait_for(leader, quick, "completed")
+    asked = [body["step-id"].partition(".")[0] for body in cell.advised]
+    assert asked.index(quick) <= len(cell.hubs)
+
+
+def _pending(cell, prefix):
+    return orjson.loads(cell.call(cell.leader(), "GET", prefix).body).get("pending")
