Let the stand-in for advice serve one call at a time, and measure a plan's cost

No test could have seen quick jobs wait for advice: the stand-in answered any number of calls at once, while the service serves a daemon's calls one by one. Each daemon of a test cell now has a stand-in of its own that does so.

scripts/bench hub_plan prints what one plan of the owner costs by hosts and waiting steps.

--- /dev/null
+++ b/bench/hub_plan.py
@@ -0,0 +1,92 @@
+"""Measure what one plan of the hub's owner costs, by worker hosts and waiting steps.
+
+This is a bench of decisions: what a plan reads of each host, the placement, and what to
+ask advice about, without orders and calls.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+
+import defopt
+
+from primrosehub.core.resources import NOTHING, Resources, total
+from primrosehub.policy.advice_need import wanted_advice
+from primrosehub.policy.packing import Demand, HostSpace, TeamRoom, plan
+
+SEED = 20261204
+ROOM = Resources(64_000, 262_144)
+TASKS_PER_HOST = 8
+TASK = Resources(5_600, 16_000)
+KNOWN_HOSTS = 8
+CALLERS = 7
+
+
+def a_space(number: int, running: list[Resources]) -> HostSpace:
+    """Return what a host that runs these tasks has free."""
+    free = ROOM - total(running)
+    name = f"h{number}"
+    return HostSpace(
+        name, free.cpu_m, free.memory_mb, 0, ROOM, f"r{number // 6}", (f"r{number}",)
+    )
+
+
+def a_demand(source: random.Random, hosts: int) -> Demand:
+    """Return a step of three tasks, half of which were advised before."""
+    known = frozenset(f"h{n}" for n in source.sample(range(hosts), KNOWN_HOSTS))
+    expired = known if source.random() < 0.5 else frozenset()
+    return Demand(
+        key=object(),
+        team="blue",
+        need=TASK,
+        tasks=[0, 1, 2],
+        gang=False,
+        allowed=frozenset(),
+        expired=expired,
+    )
+
+
+def one_plan(hosts: int, demands: list[Demand], full: bool) -> float:
+    """Return the seconds that one plan takes."""
+    load = ROOM if full else TASK * (TASKS_PER_HOST - 1)
+    running = [load, *[NOTHING] * (TASKS_PER_HOST - 1)]
+    teams = TeamRoom({}, {})
+    began = time.perf_counter()
+    spaces = [a_space(number, running) for number in range(hosts)]
+    result = plan(demands, spaces, teams)
+    for _, _ in zip(
+        range(CALLERS), wanted_advice(result.waiting, spaces, teams), strict=False
+    ):
+        pass
+    return time.perf_counter() - began
+
+
+def main(*, hosts: int = 176, waiting: int = 100, repeats: int = 20) -> None:
+    """Print one JSON line for full hosts and one for hosts with room.
+
+    :param hosts: how many worker hosts
+    :param waiting: how many steps wait
+    :param repeats: how many plans; the fastest and the median are told
+    """
+    source = random.Random(SEED)
+    demands = [a_demand(source, hosts) for _ in range(waiting)]
+    for full in (True, False):
+        took = sorted(one_plan(hosts, demands, full) for _ in range(repeats))
+        print(
+            json.dumps(
+                {
+                    "hosts": hosts,
+                    "waiting": waiting,
+                    "full": full,
+                    "best_ms": round(took[0] * 1000, 2),
+                    "median_ms": round(took[len(took) // 2] * 1000, 2),
+                }
+            ),
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/src/primrosehub_standins/advice.py
@@ -0,0 +1,42 @@
+"""Stand in for the service that knows which worker hosts may run a step."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import gevent
+from gevent.event import Event
+from gevent.lock import BoundedSemaphore
+
+from primrosehub_standins.web import Start, json_of, reply_json
+
+DECIDE_S = 0.01
+ALLOWED = 2  # of the hosts that a call names, the first ones
+VALID_MS = 2000
+
+
+class AdviceRecord:
+    """Hold what was asked, in the order served; calls wait while ``gate`` is clear."""
+
+    def __init__(self) -> None:
+        self.calls: list[Any] = []
+        self.gate = Event()
+        self.gate.set()
+
+
+class AdviceStandin:
+    """Serve one daemon's calls one at a time, in the order in which they come."""
+
+    def __init__(self, record: AdviceRecord) -> None:
+        self._record = record
+        self._turn = BoundedSemaphore(1)
+
+    def app(self, environ: dict[str, Any], start: Start) -> list[bytes]:
+        """Answer one call."""
+        call = json_of(environ)
+        with self._turn:
+            self._record.calls.append(call)
+            self._record.gate.wait()
+            gevent.sleep(DECIDE_S)
+        allowed = [[host, f"ticket-{host}"] for host in call["workers"][:ALLOWED]]
+        return reply_json(start, {"allowed": allowed, "validity-ms": VALID_MS})
--- a/src/primrosehub_standins/hub_cell.py
+++ b/src/primrosehub_standins/hub_cell.py
@@ -16,7 +16,6 @@
 
 import gevent
 import orjson
-from gevent.event import Event
 
 from primrosehub.binaries.hub import MANIFEST, leave
 from primrosehub.border.http_client import HttpEndpoint, Response
@@ -24,8 +23,9 @@
 from primrosehub.kernel import Kernel
 from primrosehub.kernel.clock import steady_s
 from primrosehub.services.names import cluster
+from primrosehub_standins.advice import AdviceRecord, AdviceStandin
 from primrosehub_standins.row_store import Door, RowStoreStandin
-from primrosehub_standins.web import Start, json_of, reply_json, serve
+from primrosehub_standins.web import serve
 from primrosehub_standins.worker_host import HostEvent, WorkerHostStandin
 
 IP = "127.0.0.1"
@@ -103,13 +103,10 @@
         self.journal: list[HostEvent] = []
         self.hosts = [WorkerHostStandin(f"i-{n}", self.journal) for n in range(hosts)]
         self.hubs: list[HubHandle] = []
-        self.advised: list[Any] = []
-        self.advice_gate = Event()
-        self.advice_gate.set()
+        self.advice = AdviceRecord()
         self._servers: list[Any] = []
         self._addresses: dict[str, str] = {}
         self._next_job = random.getrandbits(40)
-        self._advice_port = self._serve(self._advise) if advice else 0
         self._advice_on = advice
         for host in self.hosts:
             self._addresses[host.host] = f"{IP}:{self._serve(host.app)}"
@@ -141,7 +138,7 @@
             peer=f"{IP}:{ports[2]}",
             ops_ports=(ports[3],),
             store=f"{IP}:{self._serve(self.store.app(door))}",
-            advice=f"{IP}:{self._advice_port}" if self._advice_on else None,
+            advice=self._serve_advice() if self._advice_on else None,
         )
         hub = HubHandle(settings, door)
         self.hubs.append(hub)
@@ -272,13 +269,8 @@
         self._servers.append(server)
         return server.server_port
 
-    def _advise(self, environ: dict[str, Any], start: Start) -> list[bytes]:
-        body = json_of(environ)
-        self.advised.append(body)
-        gevent.sleep(0.01)
-        self.advice_gate.wait()
-        allowed = [[host, f"ticket-{host}"] for host in body["workers"][:2]]
-        return reply_json(start, {"allowed": allowed, "validity-ms": 2000})
+    def _serve_advice(self) -> str:
+        return f"{IP}:{self._serve(AdviceStandin(self.advice).app)}"
 
 
 def overlaps(journal: list[HostEvent]) -> list[str]:
--- a/testing/hub/test_jobs.py
+++ b/testing/hub/test_jobs.py
@@ -55,7 +55,7 @@
         host.tickets = True
     job = cell.submit(cell.leader(), {"count": 6, "cpu": 2000}, spec="run 0.2")
     cell.wait_for(cell.leader(), job, "completed")
-    allowed = set(cell.advised[0]["workers"][:2])
+    allowed = set(cell.advice.calls[0]["workers"][:2])
     assert {event.host for event in cell.starts(job)} <= allowed
     assert all("ticket" not in host.refusals for host in cell.hosts)
 
@@ -69,16 +69,16 @@
     cell.until(
         lambda: cell.call(leader, "GET", "/audits/").status == 200, "no new queue"
     )
-    cell.advice_gate.clear()
+    cell.advice.gate.clear()
     long = [cell.submit(leader, prefix="/audits/") for _ in range(8)]
     quick = cell.submit(leader)
     cell.until(
         lambda: _pending(cell, "/audits/") == len(long) and _pending(cell, PREFIX) == 1,
         "the owner was not told of all jobs",
     )
-    cell.advice_gate.set()
+    cell.advice.gate.set()
     cell.wait_for(leader, quick, "completed")
-    asked = [body["step-id"].partition(".")[0] for body in cell.advised]
+    asked = [body["step-id"].partition(".")[0] for body in cell.advice.calls]
     assert asked.index(quick) <= len(cell.hubs)
 
 
