--- a/src/primrosehub/policy/advice_need.py
+++ b/src/primrosehub/policy/advice_need.py
@@ -50,7 +50,7 @@
             continue
         hosts = []
         if demand.need.fits_in(widest):
-            hosts = _promise(demand, by_host, count, later)
+            hosts = _claim_room(demand, by_host, count, later)
         teams.take(demand.team, demand.need, len(hosts))
         if not demand.may_ask:
             continue
@@ -70,10 +70,10 @@
     )
 
 
-def _promise(
+def _claim_room(
     demand: Demand, by_host: dict[str, HostSpace], count: int, later: set[object]
 ) -> list[str]:
-    """Take room on hosts that are allowed, or on any that may turn out to be."""
+    """Take room on hosts that are allowed, or else on any that may turn out to be."""
     chosen = choose(demand, candidates(demand, by_host, demand.known, later), count)
     if not chosen:
         possible = [host for host in by_host if host not in demand.refused]
