Build the planner's test cell beside the other builders

No test changes: the cell of a planner, its jobs and worker hosts moves from test_planner.py to testing/builders/planned_cell.py. testing/protocol and testing/policy pass.

--- a/testing/protocol/test_planner.py
+++ b/testing/protocol/test_planner.py
@@ -1,78 +1,8 @@
-from types import SimpleNamespace
-
-import gevent
 import pytest
 
-from primrosehub.core.fleet import EndKind, Ticket
-from primrosehub.core.resources import NOTHING, Resources
-from primrosehub.kernel.clock import steady_s
-from primrosehub.services._job_book import JobBook, TaskPhase, apply_end
-from primrosehub.services._planner import Planner
-from testing.builders.cluster import (
-    a_config,
-    a_host,
-    a_queue,
-    a_step,
-    an_accepted_job,
-    an_advice_cost,
-)
-from testing.fakes import FakeAdvising, FakeHostSession, FakeMetrics, FakeTasks
-
-QUICK = a_queue(advice=an_advice_cost())
-LONG = a_queue(name="audits", prefix="/audits/", advice=an_advice_cost(0.4))
-
-
-class PlannedCell:
-    """Plan for a few worker hosts of eight cores, with advice held back."""
-
-    def __init__(self, hosts=2, callers=1, limit=NOTHING):
-        self.advising = FakeAdvising(callers)
-        self.book = JobBook(1)
-        self.tasks = FakeTasks()
-        infos = [a_host(f"h{number}") for number in range(hosts)]
-        self.term = SimpleNamespace(
-            book=self.book,
-            config=SimpleNamespace(current=a_config(QUICK, LONG, limit=limit)),
-            ownership=SimpleNamespace(confirmed_by_store_at=steady_s() + 1000),
-            sessions={info.host: FakeHostSession(info) for info in infos},
-            advising=self.advising,
-            metrics=FakeMetrics(),
-            tasks=self.tasks,
-        )
-        self.planner = Planner(self.term)
-
-    def add(self, number, step, queue=QUICK):
-        accepted = an_accepted_job(step, job=f"{number:016x}", queue=queue.name)
-        job = self.book.add(accepted, queue, None, 0.0, False)
-        job.submitted_at = steady_s()
-        return accepted.job
-
-    def start_all_over(self, number):
-        """Add a job that fills every worker host and runs already."""
-        job = self.add(number, a_step(tasks=len(self.term.sessions), cpu_m=8000))
-        (step,) = self.book.jobs[job].steps.values()
-        for task, session in zip(step.tasks, self.term.sessions.values(), strict=True):
-            self.book.bind(task, session.host, 1, TaskPhase.RUNNING)
-            session.bound[task] = None
-        return step
-
-    def end(self, task):
-        session = self.term.sessions[task.host]
-        del session.bound[task]
-        apply_end(self.book, task, EndKind.DONE, session.host, "")
-
-    def let_tickets_expire(self, job):
-        """Leave a step with hosts that it may use and no valid ticket."""
-        (step,) = self.book.jobs[job].steps.values()
-        hosts = frozenset(self.term.sessions)
-        step.allowed, step.asked = hosts, set(hosts)
-        step.tickets = {host: Ticket("old", 0.0) for host in hosts}
-
-    def settle(self):
-        """Plan until the calls that were answered and begun have had their effect."""
-        for _ in range(4):
-            self.planner.plan_once()
-            gevent.sleep(0)
+from primrosehub.core.resources import Resources
+from testing.builders.cluster import a_step
+from testing.builders.planned_cell import LONG, PlannedCell
 
 
 @pytest.fixture
