Answer the requests in progress before the grace period of a stop ends

What callers saw: a closed connection. Cause: the drain of a planned stop ended at its limit, 0.8 s before the grace period's end, with requests in progress; the front then waited 1 s more, longer than the grace period, and the process exited or was killed without their answers.

Change: shortly before the limit each task that still works on a request gets an error: 504 outcome_unknown for a submission or a cancellation, which may be stored, 503 for a query. Both have Retry-After. The error is raised by the event loop, so only in a task that waits.

--- a/src/primrosehub/services/caller_front.py
+++ b/src/primrosehub/services/caller_front.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import gevent
+from gevent import Greenlet
 
 from primrosehub.border.address import parse_address
 from primrosehub.border.http_server import DrainableServer
@@ -21,6 +22,8 @@
 DEFAULT_WAIT_S = 3.0  # for callers that send no deadline
 # For requests in progress when the daemon ends without a planned stop.
 CLOSE_TIMEOUT_S = 1.0
+# At the end of a drain, for sending the responses to requests that are not answered.
+ANSWER_RESERVE_S = 0.3
 QUIET_CHECK_INTERVAL_S = 0.05
 
 
@@ -29,13 +32,13 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
-        self._in_flight = 0
+        self._method_of_task: dict[Greenlet, str] = {}
         self._last_response_at = float("-inf")
 
     @property
     def in_flight(self) -> int:
         """Return how many requests are being answered."""
-        return self._in_flight
+        return len(self._method_of_task)
 
     def start(self, stack: ExitStack) -> None:
         """Listen until the stack closes."""
@@ -55,38 +58,59 @@
         while steady_s() - began_at < limit_s:
             gevent.sleep(QUIET_CHECK_INTERVAL_S)
             quiet_since = max(began_at, self._last_response_at)
-            if not self._in_flight and steady_s() - quiet_since > quiet_s:
+            if not self.in_flight and steady_s() - quiet_since > quiet_s:
                 return
 
     def drain(self, limit_s: float) -> None:
-        """Answer the requests that have arrived, then end all connections."""
+        """Answer the requests that have arrived, then end all connections.
+
+        A request that is still in progress shortly before the limit gets an error.
+        """
         began_at = steady_s()
         connections = self._server.open_connections
-        self._server.drain(limit_s)
+        self._server.drain(max(0.0, limit_s - ANSWER_RESERVE_S))
+        interrupted = self.in_flight
+        if interrupted:
+            self._interrupt_requests()
+            self._server.drain(ANSWER_RESERVE_S)
         log(
             "callers_drained",
             connections=connections,
             left=self._server.open_connections,
-            in_flight=self._in_flight,
+            in_flight=self.in_flight,
+            interrupted=interrupted,
             took_ms=round((steady_s() - began_at) * 1000),
         )
 
+    def _interrupt_requests(self) -> None:
+        loop = gevent.get_hub().loop
+        for task in tuple(self._method_of_task):
+            loop.run_callback(self._interrupt, task)
+
+    def _interrupt(self, task: Greenlet) -> None:
+        """Raise an error in a task that waits; called by the event loop only."""
+        method = self._method_of_task.get(task)
+        if method is not None:
+            task.throw(_unfinished_error(method))
+
     def _close(self) -> None:
         """Accept no more connections; wait for the requests in progress."""
-        self._server.stop(0)
+        self._server.close()
         deadline = steady_s() + CLOSE_TIMEOUT_S
-        while self._in_flight and steady_s() < deadline:
+        while self.in_flight and steady_s() < deadline:
             gevent.sleep(0.02)
+        self._server.stop(0)
 
     def _handle_http(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         started_at = steady_s()
-        self._in_flight += 1
+        task = gevent.getcurrent()
+        self._method_of_task[task] = environ["REQUEST_METHOD"]
         try:
             response = self._build_response(environ, started_at)
         finally:
-            self._in_flight -= 1
+            del self._method_of_task[task]
             self._last_response_at = steady_s()
         headers = response.headers
         if self._kernel.stopping.is_set():
@@ -136,3 +160,10 @@
                 self._intake.cancel(*target, request.wait_s)
                 return callers.encode_accepted()
         raise HubError(ErrorKind.METHOD_NOT_ALLOWED, "use POST, GET or DELETE")
+
+
+def _unfinished_error(method: str) -> HubError:
+    """Return the error for a request that is in progress when the daemon ends."""
+    if method == "GET":
+        return HubError(ErrorKind.UNAVAILABLE, "the daemon is stopping; send it again")
+    return HubError(ErrorKind.OUTCOME_UNKNOWN, "the daemon is stopping; send it again")
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -5,6 +5,7 @@
 import gevent
 from gevent.event import Event
 
+from primrosehub.core.batch import JobState
 from primrosehub.core.fleet import Advice
 from primrosehub.core.resources import total
 from primrosehub.core.rules import Configuration
@@ -85,6 +86,7 @@
 
     def __init__(self, services, settings=None):
         self.settings = settings
+        self.stopping = Event()
         self._services = {name.name: service for name, service in services.items()}
 
     def find(self, name):
@@ -94,6 +96,27 @@
         return name.name in self._services
 
 
+class FakeIntake:
+    """Answer no request until ``released`` is set."""
+
+    def __init__(self):
+        self.released = Event()
+
+    def submit(self, *request):
+        self.released.wait()
+
+    def cancel(self, *request):
+        self.released.wait()
+
+    def waiting(self, *request):
+        self.released.wait()
+        return 0
+
+    def state(self, *request):
+        self.released.wait()
+        return JobState.QUEUED
+
+
 class FakeAdvising:
     """Block each call for advice until ``answer`` allows all hosts that it names."""
 
--- a/testing/hub/test_stop.py
+++ b/testing/hub/test_stop.py
@@ -9,9 +9,11 @@
 import gevent
 import pytest
 
+from primrosehub.services.names import cluster
 from primrosehub_standins.hub_cell import HOST_NAME, PREFIX, HubCell
-from primrosehub_standins.row_store import StoreEndpoint
+from primrosehub_standins.row_store import EndpointState, StoreEndpoint
 
+GRACE_S = 6.0  # the process is killed then
 # Callers take a connection that ends sooner after a request for one that was idle.
 LOSS_SLACK_S = 0.2
 REQUEST = f"GET {PREFIX} HTTP/1.1\r\nHost: {HOST_NAME}\r\n\r\n".encode()
@@ -120,3 +122,25 @@
     stutter.join(10)
     assert [caller.value for caller in callers if caller.value] == []
     assert process.poll() == 0
+
+
+def test_a_submission_that_waits_for_the_store_is_answered_before_the_grace_ends(
+    start_hubs,
+):
+    cell = start_hubs(hubs=1)
+    hub = cell.leader()
+    front = hub.kernel.find(cluster.CALLER_FRONT)
+    stopped_at = time.monotonic()
+    stop = gevent.spawn(hub.stop)
+    gevent.sleep(2.0)
+    hub.store_endpoint.state = EndpointState.SILENT
+    body = b'{"spec":"run 0.1","phases":[{"count":1}]}'
+    wait = {"Primrosehub-Deadline-Ms": "20000"}
+    path = PREFIX + cell.new_id()
+    request = gevent.spawn(cell.call, hub, "POST", path, body, **wait)
+    cell.until(lambda: front.in_flight == 1, "the request was not read")
+    stop.join()
+    assert time.monotonic() - stopped_at < GRACE_S
+    request.join()
+    assert request.value.status == 504
+    assert dict(request.value.headers)["Retry-After"] == "1"
