Check in the backlog's test that the request was served when the drain returns

Without counting by the pool it passed, as the task ran after the drain had returned, when a daemon would have exited.

Change: the test looks at that moment.

Measured: it fails now without the count by the pool (no request served) and without the backlog (connection reset), and passes with both.

--- a/testing/border/test_http_server.py
+++ b/testing/border/test_http_server.py
@@ -66,13 +66,17 @@
         assert sock.recv(4096).endswith(b"yes")
 
 
-def test_a_busy_event_loop_loses_no_connection_of_the_backlog(server, monkeypatch):
+def test_a_busy_event_loop_loses_no_connection_of_the_backlog(
+    server, handler, monkeypatch
+):
     # As if the loop stayed busy until the timeout.
     monkeypatch.setattr(http_server, "_read_arrived", lambda: None)
     with connect(server) as sock:
         sock.sendall(REQUEST)
         # In this greenlet, so that the event loop has not run since.
         server.drain(LIMIT_S)
+        # A daemon exits now.
+        assert handler.served == 1
         assert sock.recv(4096).endswith(b"yes")
 
 
