--- a/src/primrosehub/services/caller_front.py
+++ b/src/primrosehub/services/caller_front.py
@@ -55,11 +55,18 @@
     def wait_for_quiet(self, quiet_s: float, limit_s: float) -> None:
         """Wait until there was no request for ``quiet_s``, for at most ``limit_s``."""
         began_at = steady_s()
-        while steady_s() - began_at < limit_s:
+        quiet = False
+        while not quiet and steady_s() - began_at < limit_s:
             gevent.sleep(QUIET_CHECK_INTERVAL_S)
             quiet_since = max(began_at, self._last_response_at)
-            if not self.in_flight and steady_s() - quiet_since > quiet_s:
-                return
+            quiet = not self.in_flight and steady_s() - quiet_since > quiet_s
+        log(
+            "callers_awaited",
+            quiet=quiet,
+            in_flight=self.in_flight,
+            connections=self._server.open_connections,
+            took_ms=round((steady_s() - began_at) * 1000),
+        )
 
     def drain(self, limit_s: float) -> None:
         """Answer the requests that have arrived, then end all connections.
