Read a request that is in the socket before a stop ends its connection

What callers saw: a connection that ended without an answer, more than 0.2 s after the request was sent. Cause: a connection counted as idle by the time since its last request, though the next one could lie unread in its socket when the event loop is busy for longer than the 0.3 s that the drain lets it read. The connection was shut down for writing, and the request was discarded.

Change: a connection is idle only if its socket has nothing to read.

Measured: test_a_busy_event_loop_ends_no_connection_with_an_unread_request failed before (the second request was not served) and passes.

--- a/src/primrosehub/border/http_server.py
+++ b/src/primrosehub/border/http_server.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import select
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Any
 
 import gevent
-from gevent import socket
+from gevent import monkey, socket
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
@@ -19,6 +20,8 @@
 # The longest wait until all sockets with data were read, on a busy event loop.
 READ_ARRIVED_TIMEOUT_S = 0.3
 _READ_BYTES = 65_536
+# gevent's own does not return before the event loop has run.
+_poll = monkey.get_original("select", "poll")
 
 
 class NoDelayHandler(WSGIHandler):
@@ -47,7 +50,12 @@
     def is_idle(self) -> bool:
         """Return whether the connection has been without a request for a while."""
         since = self._waiting_since
-        return since is not None and time.monotonic() - since >= IDLE_AFTER_S
+        if since is None or time.monotonic() - since < IDLE_AFTER_S:
+            return False
+        # A request may have arrived that the event loop has not read.
+        poller = _poll()
+        poller.register(self.socket, select.POLLIN)
+        return not poller.poll(0)
 
     def handle(self) -> None:
         """Serve requests until the connection ends."""
--- a/testing/border/test_http_server.py
+++ b/testing/border/test_http_server.py
@@ -80,6 +80,21 @@
         assert sock.recv(4096).endswith(b"yes")
 
 
+def test_a_busy_event_loop_ends_no_connection_with_an_unread_request(
+    server, handler, monkeypatch
+):
+    # As if the loop stayed busy until the timeout.
+    monkeypatch.setattr(http_server, "_read_arrived", lambda: None)
+    with connect(server) as sock:
+        assert exchange(sock).endswith(b"yes")
+        gevent.sleep(IDLE_AFTER_S)
+        sock.sendall(REQUEST)
+        # In this greenlet, so that the event loop has not run since.
+        server.drain(LIMIT_S)
+        assert handler.served == 2
+        assert sock.recv(4096).endswith(b"yes")
+
+
 def test_a_request_after_the_end_of_a_connection_does_not_run(server, handler):
     with connect(server) as sock:
         assert exchange(sock).endswith(b"yes")
