Keep half of the daemons from long calls for advice

Cause: after a planned restart of all, three daemons could call for advice, one call each, and calls of 0.7 s for trawl-survey held them all.

Ruled out, same lines: loading (0.09 s) and settling (0.13 s after taking over, 24 hosts reached, not overdue), orders (`order_ms` 6 p50, 32 at most), a refusing advice service (no `advice_missing`), the hosts' room (next to nothing waits once it is advised).

Change: a call of 0.3 s or more begins only while under half of the daemons, one at least, make such calls. The requests passed over are made again by the next plan.

--- a/src/primrosehub/core/clusterconfig.py
+++ b/src/primrosehub/core/clusterconfig.py
@@ -18,6 +18,10 @@
     per_host_s: float
     valid_s: float
 
+    def call_s(self, hosts: int) -> float:
+        """Return how long a call about this many worker hosts takes."""
+        return self.decide_s + self.per_host_s * hosts
+
 
 @dataclass(frozen=True, slots=True)
 class Queue:
--- a/src/primrosehub/policy/advice_choice.py
+++ b/src/primrosehub/policy/advice_choice.py
@@ -13,6 +13,17 @@
 # a second call would take that fixed time again.
 MAX_EXTRA_TIME_SHARE = 0.3
 MAX_HOSTS_PER_CALL = 100  # limit of the advice service
+LONG_CALL_S = 0.3  # quick jobs are to start within this time
+MAX_LONG_SHARE = 0.5  # of the daemons that call for advice, in calls that take longer
+
+
+def may_call(call_s: float, long_calls: int, daemons: int) -> bool:
+    """Return whether another call leaves enough daemons for quick jobs.
+
+    ``long_calls`` are under way. One is always allowed, so that no step waits for ever.
+    """
+    max_long_calls = max(1, int(daemons * MAX_LONG_SHARE))
+    return call_s < LONG_CALL_S or long_calls < max_long_calls
 
 
 def hosts_to_ask_about(
--- a/src/primrosehub/services/_advice_calls.py
+++ b/src/primrosehub/services/_advice_calls.py
@@ -11,7 +11,11 @@
 from primrosehub.core.fleet import AdviceCause, Ticket
 from primrosehub.core.logs import log
 from primrosehub.kernel.clock import steady_s
-from primrosehub.policy.advice_choice import hosts_to_ask_about
+from primrosehub.policy.advice_choice import (
+    LONG_CALL_S,
+    hosts_to_ask_about,
+    may_call,
+)
 from primrosehub.policy.advice_need import AdviceRequest
 from primrosehub.policy.packing import QUICK_S, HostSpace
 from primrosehub.services._job_book import StepRun
@@ -33,65 +37,46 @@
         self._term = term
         self._answered = answered
         self._under_way = 0
+        self._long_under_way = 0
 
     def make(
         self, requests: Iterator[AdviceRequest], spaces: list[HostSpace], now: float
     ) -> None:
-        """Make calls for the first requests, up to one per available daemon."""
-        max_calls = self._term.advising.available_daemons
+        """Make calls for the first requests, up to one per available daemon.
+
+        Long calls are made by some of the daemons only.
+        """
+        daemons = self._term.advising.available_daemons
         while (
-            self._under_way < max_calls
-            and (request := next(requests, None)) is not None
+            self._under_way < daemons and (request := next(requests, None)) is not None
         ):
-            self._make_call(request, spaces, now)
-
-    def _make_call(
-        self, request: AdviceRequest, spaces: list[HostSpace], now: float
-    ) -> None:
-        step: StepRun = request.key
-        allowed_hosts = step.allowed_hosts or frozenset()
-        if request.hosts and request.hosts <= allowed_hosts:
-            self._spawn(step, sorted(allowed_hosts), AdviceCause.RENEWAL, now)
-            return
-        cause = (
-            AdviceCause.FIRST if step.allowed_hosts is None else AdviceCause.MORE_HOSTS
-        )
-        hosts = hosts_to_ask_about(
-            step.spec.need,
-            len(step.waiting),
-            step.spec.label,
-            step.spec.estimate_s < QUICK_S,
-            spaces,
-            step.hosts_asked_about,
-            request.hosts,
-            step.job.queue.advice,
-        )
-        if hosts:
-            self._spawn(step, hosts, cause, now)
-
-    def _spawn(
-        self, step: StepRun, hosts: list[str], cause: AdviceCause, now: float
-    ) -> None:
-        step.advice_pending, step.advised_at = True, now
-        self._under_way += 1
-        cost = step.job.queue.advice
-        self._term.tasks.spawn("advice", self._advise, step, cost, hosts, cause)
+            step: StepRun = request.key
+            cause, hosts = _cause_and_hosts(request, spaces)
+            cost = step.job.queue.advice
+            call_s = cost.call_s(len(hosts))
+            if hosts and may_call(call_s, self._long_under_way, daemons):
+                step.advice_pending, step.advised_at = True, now
+                self._under_way += 1
+                self._long_under_way += call_s >= LONG_CALL_S
+                self._term.tasks.spawn("advice", self._advise, step, cost, hosts, cause)
 
     def _advise(
         self, step: StepRun, cost: AdviceCost, hosts: list[str], cause: AdviceCause
     ) -> None:
         began = steady_s()
+        call_s = cost.call_s(len(hosts))
         try:
             advice = self._term.advising.advise(
                 step.job.accepted.job,
                 step.occurrence,
                 step.number,
                 hosts,
-                cost.decide_s + cost.per_host_s * len(hosts),
+                call_s,
             )
         finally:
             step.advice_pending = False
             self._under_way -= 1
+            self._long_under_way -= call_s >= LONG_CALL_S
             self._answered.set()
         step.advised_at = steady_s()
         if advice is None:
@@ -116,3 +101,26 @@
             allowed=len(advice.tickets),
             took_ms=round((step.advised_at - began) * 1000),
         )
+
+
+def _cause_and_hosts(
+    request: AdviceRequest, spaces: list[HostSpace]
+) -> tuple[AdviceCause, list[str]]:
+    """Return why advice is needed, and which hosts to ask about."""
+    step: StepRun = request.key
+    allowed_hosts = step.allowed_hosts or frozenset()
+    if request.hosts and request.hosts <= allowed_hosts:
+        return AdviceCause.RENEWAL, sorted(allowed_hosts)
+    hosts = hosts_to_ask_about(
+        step.spec.need,
+        len(step.waiting),
+        step.spec.label,
+        step.spec.estimate_s < QUICK_S,
+        spaces,
+        step.hosts_asked_about,
+        request.hosts,
+        step.job.queue.advice,
+    )
+    if step.allowed_hosts is None:
+        return AdviceCause.FIRST, hosts
+    return AdviceCause.MORE_HOSTS, hosts
--- a/testing/protocol/test_planner.py
+++ b/testing/protocol/test_planner.py
@@ -72,3 +72,22 @@
     harness.add(1, a_step(cpu_m=8000))
     harness.plan_until_settled()
     assert "h29" in harness.advising.hosts_asked
+
+
+def test_long_calls_leave_daemons_for_quick_jobs(make_harness):
+    harness = make_harness(hosts=8, callers=3)
+    long_jobs = [
+        harness.add(number, a_step(cpu_m=4000, estimate_s=5.0), LONG_QUEUE)
+        for number in range(5)
+    ]
+    harness.plan_until_settled()
+    quick_jobs = [harness.add(number, a_step(estimate_s=0.5)) for number in (8, 9)]
+    harness.plan_until_settled()
+    assert harness.advising.under_way == [long_jobs[0], *quick_jobs]
+
+
+def test_a_single_daemon_makes_long_calls_too(make_harness):
+    harness = make_harness(hosts=8, callers=1)
+    job = harness.add(1, a_step(cpu_m=4000, estimate_s=5.0), LONG_QUEUE)
+    harness.plan_until_settled()
+    assert harness.advising.under_way == [job]
