Make the next call for advice when one ends, not with the next plan

Cause: a daemon whose call had ended stayed idle until the next plan, which begins three times the last plan's time later (`BATCH_DELAY_FACTOR`). With 100 waiting steps that is 20 ms, as long as a quick call.

Change: the requests of the last plan are kept, in its order, and the next is taken when a call ends. A plan replaces them; a job that ended or started meanwhile is passed over. With several services of worker hosts, calls are made after all of them are planned.

--- a/src/primrosehub/services/_advice_calls.py
+++ b/src/primrosehub/services/_advice_calls.py
@@ -29,36 +29,54 @@
 class AdviceCalls:
     """Make calls in separate tasks and count those in progress.
 
-    The event ``answered`` is set when a call ends. Requests beyond the limit are not
-    queued here: the next plan makes them again, in the order of service at that time.
+    The event ``answered`` is set when a call ends. The daemon that made it then makes
+    the next call of the last plan, because a new plan may take a few calls' time.
     """
 
     def __init__(self, term: OwnerTerm, answered: Event) -> None:
         self._term = term
         self._answered = answered
+        self._requests: Iterator[tuple[AdviceRequest, list[HostSpace]]] = iter(())
         self._under_way = 0
         self._long_under_way = 0
 
-    def make(
-        self, requests: Iterator[AdviceRequest], spaces: list[HostSpace], now: float
-    ) -> None:
-        """Make calls for the first requests, up to one per available daemon.
+    def make(self, requests: Iterator[tuple[AdviceRequest, list[HostSpace]]]) -> None:
+        """Replace the requests of the last plan and make calls for the first ones.
+
+        ``requests`` are in the order of service, each with the hosts' free room.
+        """
+        self._requests = requests
+        self._make_next_calls()
+
+    def _make_next_calls(self) -> None:
+        """Make calls for the next requests, up to one per available daemon.
 
         Long calls are made by some of the daemons only.
         """
         daemons = self._term.advising.available_daemons
         while (
-            self._under_way < daemons and (request := next(requests, None)) is not None
+            self._under_way < daemons
+            and (following := next(self._requests, None)) is not None
         ):
+            request, spaces = following
             step: StepRun = request.key
+            if step.job.final or not step.waiting:
+                continue  # since the plan
             cause, hosts = _cause_and_hosts(request, spaces)
             cost = step.job.queue.advice
             call_s = cost.call_s(len(hosts))
             if hosts and may_call(call_s, self._long_under_way, daemons):
-                step.advice_pending, step.advised_at = True, now
+                step.advice_pending, step.advised_at = True, steady_s()
                 self._under_way += 1
                 self._long_under_way += call_s >= LONG_CALL_S
-                self._term.tasks.spawn("advice", self._advise, step, cost, hosts, cause)
+                self._term.tasks.spawn("advice", self._call, step, cost, hosts, cause)
+
+    def _call(
+        self, step: StepRun, cost: AdviceCost, hosts: list[str], cause: AdviceCause
+    ) -> None:
+        self._advise(step, cost, hosts, cause)
+        if self._term.may_order:
+            self._make_next_calls()
 
     def _advise(
         self, step: StepRun, cost: AdviceCost, hosts: list[str], cause: AdviceCause
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from itertools import chain
 from typing import TYPE_CHECKING
 
 import gevent
@@ -10,7 +12,7 @@
 from primrosehub.core.clusterconfig import ClusterConfig
 from primrosehub.core.resources import NO_RESOURCES, Resources
 from primrosehub.kernel.clock import steady_s, unix_ms
-from primrosehub.policy.advice_need import advice_requests
+from primrosehub.policy.advice_need import AdviceRequest, advice_requests
 from primrosehub.policy.host_pace import fleet_mean_slowness, slowness
 from primrosehub.policy.packing import (
     Demand,
@@ -71,14 +73,19 @@
         config = term.config.current
         steps = self._eligible(began, unix_ms())
         if not steps:
+            self._advice_calls.make(iter(()))
             return
         by_service: dict[str, list[StepRun]] = {}
         for step in steps:
             by_service.setdefault(_service_of(step, config), []).append(step)
         quotas = _team_quotas(config, term.book.used_by_team)
+        requests = []
         for service, service_steps in by_service.items():
             spaces = self._host_spaces(service, began)
-            self._plan_service(config, began, service_steps, spaces, quotas)
+            requests.append(
+                self._plan_service(config, began, service_steps, spaces, quotas)
+            )
+        self._advice_calls.make(chain.from_iterable(requests))
         term.metrics.observe("plan_seconds", steady_s() - began)
 
     def _eligible(self, now: float, now_ms: int) -> list[StepRun]:
@@ -136,13 +143,13 @@
         steps: list[StepRun],
         spaces: list[HostSpace],
         quotas: TeamQuotas,
-    ) -> None:
+    ) -> Iterator[tuple[AdviceRequest, list[HostSpace]]]:
+        """Send the start orders of a service; return the requests for advice."""
         result = plan([_demand(step, now) for step in steps], spaces, quotas)
         self._send(result.placements)
         self._wait_report.note(result, steps, now)
-        self._advice_calls.make(
-            advice_requests(result.waiting, spaces, quotas), spaces, now
-        )
+        requests = advice_requests(result.waiting, spaces, quotas)
+        return ((request, spaces) for request in requests)
 
     def _send(self, placements: tuple[Placement, ...]) -> None:
         term = self._term
--- a/testing/builders/planner_harness.py
+++ b/testing/builders/planner_harness.py
@@ -42,6 +42,7 @@
             advising=self.advising,
             metrics=FakeMetrics(),
             tasks=self.tasks,
+            may_order=True,
         )
         self.term.queue_report = QueueReport(self.term)
         self.planner = Planner(self.term)
--- a/testing/protocol/test_planner.py
+++ b/testing/protocol/test_planner.py
@@ -1,3 +1,4 @@
+import gevent
 import pytest
 
 from primrosehub.core.resources import Resources
@@ -91,3 +92,22 @@
     job = harness.add(1, a_step(cpu_m=4000, estimate_s=5.0), LONG_QUEUE)
     harness.plan_until_settled()
     assert harness.advising.under_way == [job]
+
+
+def test_the_next_call_does_not_wait_for_a_plan(make_harness):
+    harness = make_harness(hosts=4, callers=1)
+    jobs = [harness.add(number, a_step()) for number in range(3)]
+    harness.plan_until_settled()
+    harness.advising.answer(jobs[0])
+    gevent.sleep(0.01)
+    assert harness.advising.calls == jobs[:2]
+
+
+def test_no_call_is_made_for_a_job_cancelled_since_the_plan(make_harness):
+    harness = make_harness(hosts=4, callers=1)
+    jobs = [harness.add(number, a_step()) for number in range(3)]
+    harness.plan_until_settled()
+    harness.book.cancel(jobs[1])
+    harness.advising.answer(jobs[0])
+    gevent.sleep(0.01)
+    assert harness.advising.calls == [jobs[0], jobs[2]]
