--- a/testing/protocol/test_planner.py
+++ b/testing/protocol/test_planner.py
@@ -1,3 +1,4 @@
+import gevent
 import pytest
 
 from primrosehub.core.resources import Resources
@@ -72,3 +73,41 @@
     harness.add(1, a_step(cpu_m=8000))
     harness.plan_until_settled()
     assert "h29" in harness.advising.hosts_asked
+
+
+def test_long_calls_leave_daemons_for_quick_jobs(make_harness):
+    harness = make_harness(hosts=8, callers=3)
+    long_jobs = [
+        harness.add(number, a_step(cpu_m=4000, estimate_s=5.0), LONG_QUEUE)
+        for number in range(5)
+    ]
+    harness.plan_until_settled()
+    quick_jobs = [harness.add(number, a_step(estimate_s=0.5)) for number in (8, 9)]
+    harness.plan_until_settled()
+    assert harness.advising.under_way == [long_jobs[0], *quick_jobs]
+
+
+def test_a_single_daemon_makes_long_calls_too(make_harness):
+    harness = make_harness(hosts=8, callers=1)
+    job = harness.add(1, a_step(cpu_m=4000, estimate_s=5.0), LONG_QUEUE)
+    harness.plan_until_settled()
+    assert harness.advising.under_way == [job]
+
+
+def test_the_next_call_does_not_wait_for_a_plan(make_harness):
+    harness = make_harness(hosts=4, callers=1)
+    jobs = [harness.add(number, a_step()) for number in range(3)]
+    harness.plan_until_settled()
+    harness.advising.answer(jobs[0])
+    gevent.sleep(0.01)
+    assert harness.advising.calls == jobs[:2]
+
+
+def test_no_call_is_made_for_a_job_cancelled_since_the_plan(make_harness):
+    harness = make_harness(hosts=4, callers=1)
+    jobs = [harness.add(number, a_step()) for number in range(3)]
+    harness.plan_until_settled()
+    harness.book.cancel(jobs[1])
+    harness.advising.answer(jobs[0])
+    gevent.sleep(0.01)
+    assert harness.advising.calls == [jobs[0], jobs[2]]
