Guard a planned stop against a request sent after the limit of its drain

The daemon then waits for the requests that it has read, of which there are none, and exits; connections stay open until the process ends.

The fixture can now start a daemon that is the only one, and names its parts.

--- a/testing/hub/test_stop.py
+++ b/testing/hub/test_stop.py
@@ -5,6 +5,8 @@
 import subprocess
 import sys
 import time
+from contextlib import ExitStack
+from dataclasses import dataclass
 
 import gevent
 import pytest
@@ -14,6 +16,8 @@
 
 # Callers take a connection that ends sooner after a request for one that was idle.
 LOSS_SLACK_S = 0.2
+# The platform kills a daemon that has not exited then.
+GRACE_S = 6.0
 REQUEST = f"GET {PREFIX} HTTP/1.1\r\nHost: {HOST_NAME}\r\n\r\n".encode()
 # The process runs for 30 ms, then not for 120 ms, as on a processor with a quota.
 RUN_S, PAUSE_S = 0.03, 0.12
@@ -23,26 +27,32 @@
     """A caller's connection that stays open between requests."""
 
     def __init__(self, address):
-        ip, _, port = address.rpartition(":")
-        self._sock = socket.create_connection((ip, int(port)), timeout=10)
-        assert self._exchange() is not None
+        self._sock = _connect(address)
+        self._begun = False
+        assert self._exchange(REQUEST) is not None
 
     def close(self):
         self._sock.close()
 
-    def send_at(self, moment):
+    def begin(self, part):
+        """Send the first part of a request."""
+        self._begun = True
+        self._sock.sendall(part)
+
+    def send_at(self, moment, data=REQUEST):
         """Send at a moment unless the connection has ended; return what was lost."""
         try:
             with gevent.Timeout(max(0.0, moment - time.monotonic())):
-                assert self._sock.recv(1) == b""
-                return None
+                early = self._sock.recv(1)
+            assert self._begun or early == b""
+            return None
         except gevent.Timeout:
             pass
         except OSError:
             return None
         sent_at = time.monotonic()
         try:
-            answer = self._exchange()
+            answer = self._exchange(data)
         except OSError:
             answer = None
         waited_s = time.monotonic() - sent_at
@@ -50,9 +60,9 @@
             return f"no answer after {waited_s:.3f} s"
         return None
 
-    def _exchange(self):
+    def _exchange(self, request):
         """Return the response to a request, or None if the connection ends first."""
-        self._sock.sendall(REQUEST)
+        self._sock.sendall(request)
         data = b""
         while not data.endswith(b"}"):
             part = self._sock.recv(4096)
@@ -62,23 +72,62 @@
         return data
 
 
-@pytest.fixture
-def hub_process(tmp_path):
-    with HubCell(hubs=1) as cell:
-        cell.leader()
-        settings = cell.new_settings(7, StoreEndpoint())
-        path = tmp_path / "settings.json"
-        path.write_text(settings.model_dump_json())
-        process = subprocess.Popen(
-            [sys.executable, "-m", "primrosehub.binaries.hub", "--settings", path],
-            stdout=subprocess.DEVNULL,
-        )
+@dataclass(slots=True)
+class HubProcess:
+    """A daemon in a process of its own."""
+
+    process: subprocess.Popen
+    address: str
+    store: StoreEndpoint
+
+    def terminate(self):
+        """Send SIGTERM; return the moment."""
+        stopped_at = time.monotonic()
+        self.process.send_signal(signal.SIGTERM)
+        return stopped_at
+
+    def exits_by(self, moment):
+        """Return whether the process has exited by a moment, waiting for it."""
         try:
+            self.process.wait(max(0.0, moment - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            return False
+        return True
+
+
+@pytest.fixture
+def start_process(tmp_path):
+    """Start a daemon process beside the daemons of a cell."""
+    with ExitStack() as stack:
+
+        def start(hubs=1):
+            cell = stack.enter_context(HubCell(hubs=hubs))
+            if hubs:
+                cell.leader()
+            store = StoreEndpoint()
+            settings = cell.new_settings(7, store)
+            path = tmp_path / "settings.json"
+            path.write_text(settings.model_dump_json())
+            process = subprocess.Popen(
+                [sys.executable, "-m", "primrosehub.binaries.hub", "--settings", path],
+                stdout=subprocess.DEVNULL,
+            )
+            stack.callback(process.wait)
+            stack.callback(process.kill)
             cell.until(lambda: _is_serving(settings.callers), "no answer", 20.0)
-            yield process, settings.callers
-        finally:
-            process.kill()
-            process.wait()
+            return HubProcess(process, settings.callers, store)
+
+        yield start
+
+
+@pytest.fixture
+def hub_process(start_process):
+    return start_process()
+
+
+def _connect(address):
+    ip, _, port = address.rpartition(":")
+    return socket.create_connection((ip, int(port)), timeout=10)
 
 
 def _is_serving(address):
@@ -90,14 +139,19 @@
     return True
 
 
-def _stutter(process):
+def _stutter(process, run_s=RUN_S, pause_s=PAUSE_S):
     while process.poll() is None:
-        gevent.sleep(RUN_S)
+        gevent.sleep(run_s)
         process.send_signal(signal.SIGSTOP)
-        gevent.sleep(PAUSE_S)
+        gevent.sleep(pause_s)
         process.send_signal(signal.SIGCONT)
 
 
+def _send_repeatedly(address, end):
+    while time.monotonic() < end and _is_serving(address):
+        gevent.sleep(0.1)
+
+
 @pytest.mark.parametrize(
     ("first_s", "last_s", "count"),
     [(2.0, 5.9, 120), (2.28, 2.32, 4)],
@@ -106,11 +160,10 @@
 def test_a_stop_loses_no_request_of_a_kept_connection(
     hub_process, first_s, last_s, count
 ):
-    process, address = hub_process
+    process, address = hub_process.process, hub_process.address
     kept = [KeptConnection(address) for _ in range(count)]
     stutter = gevent.spawn(_stutter, process)
-    stopped_at = time.monotonic()
-    process.send_signal(signal.SIGTERM)
+    stopped_at = hub_process.terminate()
     step_s = (last_s - first_s) / count
     callers = [
         gevent.spawn(connection.send_at, stopped_at + first_s + step_s * number)
@@ -120,3 +173,16 @@
     stutter.join(10)
     assert [caller.value for caller in callers if caller.value] == []
     assert process.poll() == 0
+
+
+def test_a_request_sent_after_the_limit_of_the_drain_is_not_lost(hub_process):
+    kept = [KeptConnection(hub_process.address) for _ in range(60)]
+    gevent.spawn(_stutter, hub_process.process)
+    stopped_at = hub_process.terminate()
+    gevent.spawn(_send_repeatedly, hub_process.address, stopped_at + GRACE_S)
+    callers = [
+        gevent.spawn(connection.send_at, stopped_at + 4.7 + 0.01 * number)
+        for number, connection in enumerate(kept)
+    ]
+    gevent.joinall(callers, raise_error=True)
+    assert [caller.value for caller in callers if caller.value] == []
