Show that a stop leaves connections open on which callers complete a request

What callers saw, on a stop that reached the limit of its drain (5.2 s after SIGTERM): a request whose rest was sent after that was neither answered nor refused; its connection ended with the process.

Evidence: DrainableServer.drain ends only connections that wait for a request. At its limit it returns with all others open, and with limit_s=0 with the idle ones too.

--- a/testing/border/test_http_server.py
+++ b/testing/border/test_http_server.py
@@ -7,6 +7,8 @@
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 LIMIT_S = 3.0
+# Callers take a connection that ends sooner after a request for one that was idle.
+LOSS_SLACK_S = 0.2
 
 
 class Handler:
@@ -83,3 +85,20 @@
         with gevent.Timeout(5.0):
             server.drain(0.5)
         assert server.open_connections == 1
+
+
+@pytest.mark.parametrize(
+    ("begun", "limit_s"),
+    [(b"", 0.0), (REQUEST[:-2], 0.5)],
+    ids=["idle without time to drain", "incomplete request at the limit"],
+)
+def test_no_caller_can_go_on_sending_after_a_drain(server, begun, limit_s):
+    with connect(server) as sock:
+        assert exchange(sock).endswith(b"yes")
+        sock.sendall(begun)
+        gevent.sleep(IDLE_AFTER_S)
+        server.drain(limit_s)
+        sock.settimeout(LOSS_SLACK_S)
+        # The end of the connection, alone or after a refusal of the request.
+        while sock.recv(4096):
+            pass
--- a/testing/hub/test_stop.py
+++ b/testing/hub/test_stop.py
@@ -186,3 +186,17 @@
     ]
     gevent.joinall(callers, raise_error=True)
     assert [caller.value for caller in callers if caller.value] == []
+
+
+def test_a_request_completed_after_the_limit_of_the_drain_is_not_lost(hub_process):
+    begun = [KeptConnection(hub_process.address) for _ in range(40)]
+    for connection in begun:
+        connection.begin(REQUEST[:-2])
+    gevent.spawn(_stutter, hub_process.process)
+    stopped_at = hub_process.terminate()
+    callers = [
+        gevent.spawn(connection.send_at, stopped_at + 5.0 + 0.02 * number, REQUEST[-2:])
+        for number, connection in enumerate(begun)
+    ]
+    gevent.joinall(callers, raise_error=True)
+    assert [caller.value for caller in callers if caller.value] == []
