Show that a drain returns before accepted connections have been read

What callers saw: a request on a new connection, sent while the daemon did not run for half a second, ended without an answer when the daemon exited.

Evidence: when the event loop is blocked for longer than READ_ARRIVED_TIMEOUT_S, one iteration accepts and then fires the timeout. The connection is counted only once its handler's greenlet has begun, so the drain sees none, returns, and the services close; the handler runs after that, beside an intake whose tasks have ended. Of more than 100 connections, which gevent accepts at once at most, the rest is reset with the listener.

--- a/testing/border/test_http_server.py
+++ b/testing/border/test_http_server.py
@@ -1,9 +1,15 @@
 import socket
+from contextlib import ExitStack
 
 import gevent
 import pytest
+from gevent.monkey import get_original
 
-from primrosehub.border.http_server import IDLE_AFTER_S, DrainableServer
+from primrosehub.border.http_server import (
+    IDLE_AFTER_S,
+    READ_ARRIVED_TIMEOUT_S,
+    DrainableServer,
+)
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 LIMIT_S = 3.0
@@ -30,7 +36,7 @@
 
 @pytest.fixture
 def server(handler):
-    server = DrainableServer(("127.0.0.1", 0), handler, log=None)
+    server = DrainableServer(("127.0.0.1", 0), handler, log=None, backlog=512)
     server.start()
     yield server
     server.stop(0)
@@ -45,6 +51,17 @@
     return sock.recv(4096)
 
 
+def receive_now(sock):
+    try:
+        return sock.recv(4096, socket.MSG_DONTWAIT)
+    except OSError as error:
+        return type(error).__name__.encode()
+
+
+def block_event_loop():
+    get_original("time", "sleep")(READ_ARRIVED_TIMEOUT_S + LOSS_SLACK_S)
+
+
 def test_a_drain_ends_idle_connections_and_the_listener(server):
     with connect(server) as sock:
         assert exchange(sock).endswith(b"yes")
@@ -87,6 +104,21 @@
         assert server.open_connections == 1
 
 
+@pytest.mark.parametrize("count", [1, 150])
+def test_connections_that_arrived_during_a_busy_event_loop_are_served(server, count):
+    # gevent's own connect would run the event loop, which would accept.
+    native_socket = get_original("socket", "socket")
+    with ExitStack() as stack:
+        callers = [stack.enter_context(native_socket()) for _ in range(count)]
+        for caller in callers:
+            caller.connect(("127.0.0.1", server.server_port))
+            caller.sendall(REQUEST)
+        gevent.spawn(block_event_loop)
+        server.drain(LIMIT_S)
+        answers = [receive_now(caller) for caller in callers]
+        assert [one for one in answers if not one.endswith(b"yes")] == []
+
+
 @pytest.mark.parametrize(
     ("begun", "limit_s"),
     [(b"", 0.0), (REQUEST[:-2], 0.5)],
