Show that a request in progress at the limit of a stop is cut, and the exit late

The process exited more than 6.3 s after SIGTERM, beyond the grace period of 6 s.

Evidence: the answer to a submission may take 0.48 of the caller's deadline, that to a state query any number of store calls one after the other, whatever time the stop has left. The drain gives up at 5.2 s, then CallerFront._close waits up to 1 s more, to 6.2 s, and the process ends with the request in progress.

Measured, the only daemon of its cell: 2 of 77 requests lost, the submissions with a deadline of 10 s (waits of 2.410 and 2.432 s, exit after 6.347 s); 1 of 73 with state queries (exit after 6.367 s). An owner that does not answer costs 0.6 s: 0 of 69 lost, exit after 5.371 s.

--- a/testing/hub/test_stop.py
+++ b/testing/hub/test_stop.py
@@ -12,7 +12,8 @@
 import pytest
 
 from primrosehub_standins.hub_cell import HOST_NAME, PREFIX, HubCell
-from primrosehub_standins.row_store import StoreEndpoint
+from primrosehub_standins.row_store import EndpointState, StoreEndpoint
+from testing.builders.requests import a_state_query, a_submission
 
 # Callers take a connection that ends sooner after a request for one that was idle.
 LOSS_SLACK_S = 0.2
@@ -200,3 +201,25 @@
     ]
     gevent.joinall(callers, raise_error=True)
     assert [caller.value for caller in callers if caller.value] == []
+
+
+@pytest.mark.parametrize(
+    ("state", "delay_s", "data"),
+    [
+        (EndpointState.SILENT, 0.0, a_submission("0" * 16, deadline_ms=10_000)),
+        (EndpointState.OPEN, 0.9, a_state_query()),
+    ],
+    ids=["submission to a silent store", "state query to a slow store"],
+)
+def test_a_request_in_progress_at_the_limit_of_the_drain_is_answered(
+    start_process, state, delay_s, data
+):
+    daemon = start_process(hubs=0)
+    assert KeptConnection(daemon.address).send_at(0.0, a_submission()) is None
+    caller = KeptConnection(daemon.address)
+    stopped_at = daemon.terminate()
+    gevent.sleep(2.0)
+    daemon.store.state, daemon.store.answer_delay_s = state, delay_s
+    lost = gevent.spawn(caller.send_at, stopped_at + 2.5, data)
+    exited = daemon.exits_by(stopped_at + GRACE_S)
+    assert (exited, lost.get()) == (True, None)
