Show that one unfinished body makes the daemon exit after the grace period

What callers saw: nothing yet, but the platform kills the process at 6 s, with all that it is still doing then.

Evidence: a caller that sends the head and a part of the body, then nothing, counts as a request in progress. The drain waits for it until 5.2 s after SIGTERM and CallerFront._close until 6.2 s.

Measured without pauses, 50 such callers: exit after 6.375 s. With bodies that were completed until 5.96 s all of 50 were answered, and the exit came after 6.105 s; on a process that runs 30 of every 150 ms after 6.856 s. Callers with an unfinished head: exit after 5.352 s.

--- a/testing/hub/test_stop.py
+++ b/testing/hub/test_stop.py
@@ -223,3 +223,12 @@
     lost = gevent.spawn(caller.send_at, stopped_at + 2.5, data)
     exited = daemon.exits_by(stopped_at + GRACE_S)
     assert (exited, lost.get()) == (True, None)
+
+
+def test_an_unfinished_body_does_not_delay_the_exit_beyond_the_grace_period(
+    hub_process,
+):
+    caller = KeptConnection(hub_process.address)
+    caller.begin(a_submission()[:-1])
+    assert hub_process.exits_by(hub_process.terminate() + GRACE_S)
+    caller.close()
