Show that an idle caller makes a slow daemon exit after the grace period

What callers saw: nothing yet, but the platform kills the process at 6 s.

Evidence: the drain ends an idle connection for writing, then waits until the caller closes its side, until 5.2 s at most. A caller that keeps ended connections until it needs one holds each stop there. What is left after that, mostly the end of the interpreter, takes about 0.13 s of processor time, more than EXIT_RESERVE_S on a slow processor.

Measured, one idle caller and no request: exit after 5.353 s without pauses; 5.933 to 6.228 s in five stops of a process that runs 30 of every 150 ms, 6.284 s with 30 of 230 ms, 6.533 s with 50 of 400 ms. When the caller closes: 3.519 and 3.651 s with 30 of 150 ms; with no caller and 50 of 400 ms 3.660 s.

--- a/testing/hub/test_stop.py
+++ b/testing/hub/test_stop.py
@@ -232,3 +232,10 @@
     caller.begin(a_submission()[:-1])
     assert hub_process.exits_by(hub_process.terminate() + GRACE_S)
     caller.close()
+
+
+def test_an_idle_caller_does_not_delay_a_slow_exit_beyond_the_grace_period(hub_process):
+    idle = KeptConnection(hub_process.address)
+    gevent.spawn(_stutter, hub_process.process, 0.05, 0.35)
+    assert hub_process.exits_by(hub_process.terminate() + GRACE_S)
+    idle.close()
