--- a/testing/border/test_http_server.py
+++ b/testing/border/test_http_server.py
@@ -1,13 +1,21 @@
 import socket
+from contextlib import ExitStack
 
 import gevent
 import pytest
+from gevent.monkey import get_original
 
 from primrosehub.border import http_server
-from primrosehub.border.http_server import IDLE_AFTER_S, DrainableServer
+from primrosehub.border.http_server import (
+    IDLE_AFTER_S,
+    READ_ARRIVED_TIMEOUT_S,
+    DrainableServer,
+)
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 LIMIT_S = 3.0
+# Callers take a connection that ends sooner after a request for one that was idle.
+LOSS_SLACK_S = 0.2
 
 
 class Handler:
@@ -29,7 +37,7 @@
 
 @pytest.fixture
 def server(handler):
-    server = DrainableServer(("127.0.0.1", 0), handler, log=None)
+    server = DrainableServer(("127.0.0.1", 0), handler, log=None, backlog=512)
     server.start()
     yield server
     server.stop(0)
@@ -44,6 +52,17 @@
     return sock.recv(4096)
 
 
+def receive_now(sock):
+    try:
+        return sock.recv(4096, socket.MSG_DONTWAIT)
+    except OSError as error:
+        return type(error).__name__.encode()
+
+
+def block_event_loop():
+    get_original("time", "sleep")(READ_ARRIVED_TIMEOUT_S + LOSS_SLACK_S)
+
+
 def test_a_drain_ends_idle_connections_and_the_listener(server):
     with connect(server) as sock:
         assert exchange(sock).endswith(b"yes")
@@ -113,3 +132,35 @@
         with gevent.Timeout(5.0):
             server.drain(0.5)
         assert server.open_connections == 1
+
+
+@pytest.mark.parametrize("count", [1, 150])
+def test_connections_that_arrived_during_a_busy_event_loop_are_served(server, count):
+    # gevent's own connect would run the event loop, which would accept.
+    native_socket = get_original("socket", "socket")
+    with ExitStack() as stack:
+        callers = [stack.enter_context(native_socket()) for _ in range(count)]
+        for caller in callers:
+            caller.connect(("127.0.0.1", server.server_port))
+            caller.sendall(REQUEST)
+        gevent.spawn(block_event_loop)
+        server.drain(LIMIT_S)
+        answers = [receive_now(caller) for caller in callers]
+        assert [one for one in answers if not one.endswith(b"yes")] == []
+
+
+@pytest.mark.parametrize(
+    ("begun", "limit_s"),
+    [(b"", 0.0), (REQUEST[:-2], 0.5)],
+    ids=["idle without time to drain", "incomplete request at the limit"],
+)
+def test_no_caller_can_go_on_sending_after_a_drain(server, begun, limit_s):
+    with connect(server) as sock:
+        assert exchange(sock).endswith(b"yes")
+        sock.sendall(begun)
+        gevent.sleep(IDLE_AFTER_S)
+        server.drain(limit_s)
+        sock.settimeout(LOSS_SLACK_S)
+        # The end of the connection, alone or after a refusal of the request.
+        while sock.recv(4096):
+            pass
