End every connection without an answer in progress at the limit of a drain

And a caller that never closes an ended connection held the stop until its limit, so that a slow process exited, or was killed, after the grace period.

Change: at its limit a drain ends all connections but those on which a request is being answered; what is completed on an ended one is discarded. An ended connection is waited for no longer than its caller needs to see the end.

--- a/src/primrosehub/border/http_server.py
+++ b/src/primrosehub/border/http_server.py
@@ -15,6 +15,8 @@
 
 # A connection counts as idle after this time without a request.
 IDLE_AFTER_S = 0.2
+# By then a caller has seen that its connection ended.
+END_SEEN_AFTER_S = 0.2
 # Between two looks for idle connections while a server stops.
 IDLE_CHECK_INTERVAL_S = 0.02
 # The longest wait until all sockets with data were read, on a busy event loop.
@@ -37,14 +39,15 @@
 
 
 class DrainableHandler(NoDelayHandler):
-    """Serve a connection that the server can close between two requests."""
+    """Serve a connection that the server can end while it answers no request."""
 
     server: DrainableServer
 
     def __init__(self, sock: socket.socket, address: Any, server: Any) -> None:
         super().__init__(sock, address, server)
         self._waiting_since: float | None = None
-        self._ended = False
+        self._answering = False
+        self._ended_at: float | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -57,6 +60,12 @@
         poller.register(self.socket, select.POLLIN)
         return not poller.poll(0)
 
+    @property
+    def is_finished(self) -> bool:
+        """Return whether the caller has had the time to see the connection's end."""
+        ended_at = self._ended_at
+        return ended_at is not None and time.monotonic() - ended_at >= END_SEEN_AFTER_S
+
     def handle(self) -> None:
         """Serve requests until the connection ends."""
         with self.server.track(self):
@@ -66,26 +75,40 @@
         """Return the next request's first line, empty at the connection's end."""
         self._waiting_since = time.monotonic()
         try:
-            line = super().read_requestline()
+            return super().read_requestline()
         finally:
             self._waiting_since = None
-        if not self._ended:
-            return line
-        # The response can no longer be sent, so the request must not run. Closing a
-        # socket with unread data would reset the connection.
-        while self.socket.recv(_READ_BYTES):
-            pass
-        return ""
+
+    def handle_one_response(self) -> None:
+        """Answer a request whose head was read, unless the connection has ended."""
+        if self._ended_at is not None:
+            # The response can no longer be sent, so the request must not run.
+            self.close_connection = True
+            self._read_to_end()
+            return
+        self._answering = True
+        try:
+            super().handle_one_response()
+        finally:
+            self._answering = False
 
     def end(self) -> None:
         """Tell the caller that no more responses follow; go on reading."""
-        if not self._ended:
-            self._ended = True
+        if self._ended_at is None and not self._answering:
+            self._ended_at = time.monotonic()
             try:
                 self.socket.shutdown(socket.SHUT_WR)
             except OSError:
                 pass  # the caller closed the connection at the same moment
 
+    def _read_to_end(self) -> None:
+        """Discard what arrives; closing a socket with unread data would reset it."""
+        try:
+            while self.socket.recv(_READ_BYTES):
+                pass
+        except OSError:
+            pass  # the caller reset the connection
+
 
 class DrainableServer(WSGIServer):
     """Serve HTTP, and stop without losing a request that has arrived."""
@@ -100,6 +123,12 @@
         """Return how many connections were accepted and are not closed."""
         return len(self.pool)
 
+    @property
+    def active_connections(self) -> int:
+        """Return how many connections are open whose callers may expect an answer."""
+        finished = sum(connection.is_finished for connection in self._connections)
+        return self.open_connections - finished
+
     @contextmanager
     def track(self, connection: DrainableHandler) -> Iterator[None]:
         """Let the connection be ended while the context lasts."""
@@ -112,18 +141,21 @@
     def drain(self, limit_s: float) -> None:
         """Close the listener, answer what has arrived and end idle connections.
 
-        Return when no connection is open, after ``limit_s`` at the latest.
+        Return when no connection is active, after ``limit_s`` at the latest. Then all
+        connections have been ended on which no request is being answered.
         """
         deadline = time.monotonic() + limit_s
         _read_arrived()
         self._accept_backlog()
         self.close()
-        while self.open_connections and time.monotonic() < deadline:
+        while self.active_connections and time.monotonic() < deadline:
             _read_arrived()
             for connection in tuple(self._connections):
                 if connection.is_idle:
                     connection.end()
             gevent.sleep(IDLE_CHECK_INTERVAL_S)
+        for connection in tuple(self._connections):
+            connection.end()
 
     def _accept_backlog(self) -> None:
         """Accept what the event loop has not; closing the listener resets the rest."""
--- a/src/primrosehub/services/caller_front.py
+++ b/src/primrosehub/services/caller_front.py
@@ -77,13 +77,12 @@
         connections = self._server.open_connections
         self._server.drain(max(0.0, limit_s - ANSWER_RESERVE_S))
         interrupted = self.in_flight
-        if interrupted:
-            self._interrupt_requests()
-            self._server.drain(ANSWER_RESERVE_S)
+        self._interrupt_requests()
+        self._server.drain(ANSWER_RESERVE_S)
         log(
             "callers_drained",
             connections=connections,
-            left=self._server.open_connections,
+            left=self._server.active_connections,
             in_flight=self.in_flight,
             interrupted=interrupted,
             took_ms=round((steady_s() - began_at) * 1000),
