--- a/src/primrosehub_standins/worker_host.py
+++ b/src/primrosehub_standins/worker_host.py
@@ -29,13 +29,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HostEvent:
-    """Hold the start or end of an attempt on a host, for the checker."""
+    """Hold the start or end of an attempt on a host, for the checker.
+
+    ``epoch`` is the highest that the host knew; of a start, that of its order.
+    """
 
     at: float
     host: str
     task: str
     attempt: int
     kind: str
+    epoch: int = 0
 
 
 @dataclass(slots=True)
@@ -240,6 +244,7 @@
         self._ended = Event()
 
     def _record_event(self, run: _Run, kind: str) -> None:
-        self.journal.append(
-            HostEvent(steady_s(), self.host, run.task, run.attempt, kind)
+        event = HostEvent(
+            steady_s(), self.host, run.task, run.attempt, kind, self._highest_token
         )
+        self.journal.append(event)
