Keep the ownership in a planned stop until a daemon that stays can take over

Cause: a daemon that got SIGTERM released at once, whoever its heir was, and watched the owner no more.

Ruled out: a told heir (by name in the release), as older builds do not know the message and the owner's choice is no newer than the heir's news; choosing by the last pongs, as a peer may have got its signal since; a new wire field for the end of a daemon's time, as peers can count from when they heard `leaving`. The store's epoch, the fenced row and the leases are as they were.

Change: a leaving daemon pings all peers at once. As the owner it goes on until a peer that stays, is not slow, has a configuration and reaches the store was heard since its own signal, at the latest until 1.5 s before its end, then releases as before (policy/succession.decide_release). A leaving daemon that has not released is a candidate where no able one stays and it has 1 s left before that; the one stopped last comes first (candidate_rank). A daemon with no callers left stops standing by; a take-over under way then is awaited and released, and none begins after the release. A late pong does not take back that its sender leaves. A daemon that has released goes on learning who owns the jobs: before, it asked itself until its end. model/hub.py gets the release as a step; an owner that leaves and goes on acts as any owner, and any daemon may take over at any time there already, so nothing else in it changes.

Tests seen failing before: test_the_owner_starts_jobs_while_all_daemons_leave (1 and 3 daemons), test_a_leaving_owner_goes_on_until_a_peer_has_started, test_a_leaving_daemon_takes_over_when_all_leave_and_ the_owner_dies, test_a_daemon_that_has_released_learns_of_the_next_owner, test_a_pong_that_does_not_tell_ leaving_is_of_a_daemon_that_stays, test_a_late_pong_does_not_take_back_that_a_peer_leaves. Passed before: test_jobs_start_while_all_daemons_but_one_leave_in_overlap, test_a_daemon_that_has_left_does_not_take_over_ again; the latter fails without the two checks of the release, test_a_daemon_that_ends_in_a_take_over_ leaves_no_row_that_names_it without the wait for a take-over under way.

--- a/model/hub.py
+++ b/model/hub.py
@@ -107,6 +107,7 @@
     """Yield the name of each possible next step and the state after it."""
     for number in DAEMONS:
         yield from _take_over(state, number)
+        yield from _release(state, number)
         owner = state.owners[number]
         if 0 < owner.epoch < state.epoch:
             yield (
@@ -144,6 +145,12 @@
         )
 
 
+def _release(state: State, number: int) -> Iterator[tuple[str, State]]:
+    """Yield the release of a leaving owner; until then it acts as any owner does."""
+    if 0 < state.owners[number].epoch == state.epoch:
+        yield f"daemon {number} releases", _set_owner(state, number, Owner())
+
+
 def _reach(
     state: State, number: int, host_number: int, guards: Guards
 ) -> Iterator[tuple[str, State]]:
--- a/src/primrosehub/binaries/hub.py
+++ b/src/primrosehub/binaries/hub.py
@@ -62,11 +62,12 @@
     front = kernel.find(cluster.CALLER_FRONT)
     with ExitStack() as stack:
         ownership = kernel.find(cluster.OWNERSHIP)
-        hand_over = kernel.tasks(stack).spawn("hand-over", ownership.release)
+        hand_over = kernel.tasks(stack).spawn("hand-over", ownership.release, deadline)
         gevent.sleep(BALANCER_REMOVAL_S)
         front.wait_for_quiet(
             DRAIN_QUIET_S, max(0.0, deadline - CLOSE_RESERVE_S - steady_s())
         )
+        ownership.stop_standing_by()
         hand_over.join(max(0.0, deadline - CLOSE_RESERVE_S - steady_s()))
         front.drain(max(0.0, deadline - steady_s()))
 
--- a/src/primrosehub/core/peering.py
+++ b/src/primrosehub/core/peering.py
@@ -76,10 +76,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ReceivedPong:
-    """Hold the last pong of a peer and its age."""
+    """Hold the last pong of a peer and its age.
+
+    ``leaving_s`` is the time since the peer first told that it leaves, 0 if it did not.
+    """
 
     pong: Pong
     age_s: float
+    leaving_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosehub/policy/succession.py
+++ b/src/primrosehub/policy/succession.py
@@ -1,4 +1,7 @@
-"""Decide whether the owner of the jobs is gone and when this daemon takes over."""
+"""Decide whether the owner of the jobs is gone and when this daemon takes over.
+
+Decide also when an owner that leaves releases the ownership.
+"""
 
 from __future__ import annotations
 
@@ -15,6 +18,12 @@
 RANK_DELAY_S = 0.4
 # Lets the first candidate go ahead of one whose rank is only due to a late ping.
 OWNER_GONE_DELAY_S = 0.15
+# Of a leaving owner's time, for its last flush and the release beside a slow store.
+RELEASE_RESERVE_S = 1.5
+# The term that a leaving daemon must have left before that to take over.
+MIN_TERM_S = 1.0
+# Daemons that were stopped within this time count as stopped together.
+SAME_STOP_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +60,43 @@
 OwnerStatus = OwnerAlive | OwnerSilent | OwnerGone
 
 
+@dataclass(frozen=True, slots=True)
+class Staying:
+    """Say that this daemon was not told to stop."""
+
+
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """Say for how long this daemon has been leaving, and how long it still runs."""
+
+    for_s: float
+    left_s: float
+
+
+Tenure = Staying | Leaving
+STAYING = Staying()
+
+
+@dataclass(frozen=True, slots=True)
+class KeepOwnership:
+    """Say that a leaving owner goes on, as no daemon that stays could take over."""
+
+
+@dataclass(frozen=True, slots=True)
+class HeirReady:
+    """Say that a leaving owner releases, as this daemon is ready to take over."""
+
+    heir: str
+
+
+@dataclass(frozen=True, slots=True)
+class OutOfTime:
+    """Say that a leaving owner releases, as it ends soon."""
+
+
+ReleaseDecision = KeepOwnership | HeirReady | OutOfTime
+
+
 def same_term(row: OwnerRow, other: OwnerRow) -> bool:
     """Tell whether two rows name the same term; the number of writes may differ."""
     return (row.epoch, row.incarnation) == (other.epoch, other.incarnation)
@@ -72,8 +118,28 @@
     return OwnerAlive() if silence_s < SILENCE_S else OwnerSilent(silence_s)
 
 
-def take_over_delay_s(status: OwnerStatus, rank: int) -> float | None:
+def decide_release(leaving: Leaving, heard: Sequence[ReceivedPong]) -> ReleaseDecision:
+    """Tell whether a leaving owner releases the ownership now.
+
+    A pong from before this daemon began to leave does not count: its sender may have
+    been told to stop at the same moment.
+    """
+    for news in heard:
+        ready = news.pong.config_version > 0 and news.age_s <= leaving.for_s
+        if ready and _is_able(news) and not news.pong.leaving:
+            return HeirReady(news.pong.sender.name)
+    return KeepOwnership() if leaving.left_s > RELEASE_RESERVE_S else OutOfTime()
+
+
+def may_take_over(leaving: Leaving) -> bool:
+    """Tell whether a leaving daemon has the time for a term of its own."""
+    return leaving.left_s >= RELEASE_RESERVE_S + MIN_TERM_S
+
+
+def take_over_delay_s(status: OwnerStatus, rank: int | None) -> float | None:
     """Return how long this status has to last before a take-over, None for never."""
+    if rank is None:
+        return None
     match status:
         case OwnerAlive():
             return None
@@ -84,23 +150,47 @@
 
 
 def candidate_rank(
-    me: PeerCard, able: bool, row: OwnerRow, heard: Sequence[ReceivedPong]
-) -> int:
+    me: PeerCard,
+    able: bool,
+    row: OwnerRow,
+    heard: Sequence[ReceivedPong],
+    tenure: Tenure = STAYING,
+) -> int | None:
     """Return this daemon's rank among the candidates, counted from 0.
 
     The candidate with the highest ``power`` comes first. A daemon that is not able,
-    being slow or rejected by the store, comes after all others.
+    being slow or rejected by the store, comes after all others. A daemon that leaves
+    is a candidate only where no able one stays, and returns None otherwise.
     """
-    others = [
-        news.pong.sender
-        for news in heard
-        if news.pong.store_reached
-        and not news.pong.leaving
-        and not news.pong.slow
-        and news.pong.sender.incarnation != row.incarnation
-    ]
-    ranked = sorted([me, *others], key=lambda card: (-card.power, card.name))
-    return ranked.index(me) + (0 if able else len(others))
+    others = [news for news in heard if news.pong.sender.incarnation != row.incarnation]
+    staying = [news for news in others if not news.pong.leaving]
+    able_staying = [news for news in staying if _is_able(news)]
+    match tenure:
+        case Staying():
+            before = sum(_order(news.pong.sender) < _order(me) for news in able_staying)
+            return before + (0 if able else len(able_staying))
+        case Leaving() if able_staying or not may_take_over(tenure):
+            return None
+        case Leaving(for_s):
+            leaving = [news for news in others if news.pong.leaving and _is_able(news)]
+            before = sum(_comes_before(news, me, for_s) for news in leaving)
+            slow = sum(news.pong.store_reached for news in staying)
+            return slow + before + (0 if able else len(leaving))
+
+
+def _is_able(news: ReceivedPong) -> bool:
+    return news.pong.store_reached and not news.pong.slow
+
+
+def _order(card: PeerCard) -> tuple[float, str]:
+    return (-card.power, card.name)
+
+
+def _comes_before(news: ReceivedPong, me: PeerCard, for_s: float) -> bool:
+    """Tell whether a leaving peer comes before this daemon, which leaves too."""
+    if abs(news.leaving_s - for_s) <= SAME_STOP_S:
+        return _order(news.pong.sender) < _order(me)
+    return news.leaving_s < for_s
 
 
 def _is_new_incarnation(news: ReceivedPong, row: OwnerRow) -> bool:
--- a/src/primrosehub/services/names/cluster.py
+++ b/src/primrosehub/services/names/cluster.py
@@ -96,6 +96,9 @@
     def ping_now(self) -> None:
         """Ping all peers immediately, to spread a change of this daemon's state."""
 
+    def wait_for_pong(self, timeout_s: float) -> None:
+        """Wait until a peer is heard, for at most ``timeout_s``."""
+
 
 class PeerSilent(Exception):
     """Signal that a peer gave no answer."""
@@ -135,8 +138,14 @@
     def step_down(self, epoch: int, reason: str) -> None:
         """Give up the ownership of this epoch, because a higher epoch exists."""
 
-    def release(self) -> None:
-        """Give up the ownership, so that a peer takes over immediately."""
+    def release(self, deadline: float) -> None:
+        """Give up the ownership once a peer can take over, or before the deadline.
+
+        Until then this daemon goes on as the owner, or stands by to become it.
+        """
+
+    def stop_standing_by(self) -> None:
+        """Let ``release`` return now unless this daemon is the owner."""
 
 
 class OwnershipLost(Exception):
--- a/src/primrosehub/services/ownership.py
+++ b/src/primrosehub/services/ownership.py
@@ -35,11 +35,19 @@
 from primrosehub.policy.own_pace import SlowProcessorDetector
 from primrosehub.policy.succession import (
     SILENCE_S,
+    STAYING,
+    HeirReady,
+    KeepOwnership,
+    Leaving,
+    OutOfTime,
     OwnerAlive,
     OwnerStatus,
     OwnView,
+    ReleaseDecision,
     assess_owner,
     candidate_rank,
+    decide_release,
+    may_take_over,
     same_term,
     take_over_delay_s,
 )
@@ -79,6 +87,10 @@
         self._owner_status: OwnerStatus = OwnerAlive()
         self._owner_status_since = self._checked_at = steady_s()
         self._lock = RLock()
+        self._leaving_since = self._leaves_at = float("inf")
+        self._release_decision: ReleaseDecision | None = None
+        self._standing_by = True
+        self._taking_over = False
         self._released = False
         self._slow_detector = SlowProcessorDetector()
         self._handed_over_at = float("-inf")
@@ -163,16 +175,55 @@
             self._scheduler.end_term()
         self._check_requested.set()
 
-    def release(self) -> None:
-        """Give up the ownership, so that a peer takes over immediately."""
+    def release(self, deadline: float) -> None:
+        """Give up the ownership once a peer can take over, or before the deadline.
+
+        Until then this daemon goes on as the owner, or stands by to become it.
+        """
+        self._leaving_since, self._leaves_at = steady_s(), deadline
+        self._peering.ping_now()
+        while self._taking_over or self._goes_on():
+            self._peering.wait_for_pong(CHECK_INTERVAL_S)
         self._released = True
         if self._leading:
             self._hand_over()
 
+    def stop_standing_by(self) -> None:
+        """Let ``release`` return now unless this daemon is the owner."""
+        self._standing_by = False
+
+    def _goes_on(self) -> bool:
+        """Return whether this leaving daemon remains the owner or may become it."""
+        leaving = self._leaving()
+        if not self._leading:
+            return self._standing_by and may_take_over(leaving)
+        heard = self._peering.reachable_pongs(SILENCE_S)
+        decision = decide_release(leaving, heard)
+        if decision != self._release_decision:
+            self._release_decision = decision
+            log(
+                "release_decided",
+                decision=decision,
+                left_s=round(leaving.left_s, 3),
+                heard=len(heard),
+                heard_leaving=sum(news.pong.leaving for news in heard),
+            )
+        match decision:
+            case KeepOwnership():
+                return True
+            case HeirReady() | OutOfTime():
+                return False
+
+    def _leaving(self) -> Leaving:
+        now = steady_s()
+        return Leaving(now - self._leaving_since, self._leaves_at - now)
+
     def _hand_over(self) -> None:
         try:
             self._scheduler.flush()
             with self._lock:
+                if not self._leading:
+                    return
                 row = replace(self._row, incarnation="", number=self._row.number + 1)
                 self._scheduler.end_term()
                 self._commit_row(row, RowsTransaction())
@@ -270,8 +321,6 @@
         while True:
             self._check_requested.wait(CHECK_INTERVAL_S)
             self._check_requested.clear()
-            if self._released:
-                return
             try:
                 if self._leading:
                     self._check_own_term()
@@ -308,10 +357,13 @@
             self._owner_status, self._owner_status_since = status, now
             if not isinstance(status, OwnerAlive):
                 log("owner_missed", owner=self._row.name, verdict=status)
+        if self._released or not self._standing_by:
+            return
         me, store_reached = self._peering.own_card, self._store.reached_directly
-        rank = candidate_rank(
-            me, store_reached and not self._slow_detector.slow, self._row, pongs
-        )
+        able = store_reached and not self._slow_detector.slow
+        leaves = self._leaving_since <= now
+        tenure = self._leaving() if leaves else STAYING
+        rank = candidate_rank(me, able, self._row, pongs, tenure)
         delay_s = take_over_delay_s(status, rank)
         if delay_s is None or now - self._owner_status_since < delay_s:
             return
@@ -358,8 +410,15 @@
             self._begin_term(steady_s())
 
     def _take_over(self) -> None:
-        if self._leading:
+        if self._leading or self._released:
             return
+        self._taking_over = True  # ``release`` waits for the outcome
+        try:
+            self._write_own_row()
+        finally:
+            self._taking_over = False
+
+    def _write_own_row(self) -> None:
         me = self._peering.own_card
         row = OwnerRow(self._row.epoch + 1, me.incarnation, me.name)
         sent = steady_s()
@@ -380,7 +439,7 @@
                 self._reread()
 
     def _begin_term(self, confirmed_at: float) -> None:
-        if self._leading:
+        if self._leading or self._released:
             return
         self._leading = True
         self._confirmed_at = confirmed_at
--- a/src/primrosehub/services/peering.py
+++ b/src/primrosehub/services/peering.py
@@ -5,7 +5,7 @@
 import uuid
 from collections.abc import Callable, Sequence
 from contextlib import ExitStack
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import gevent
 from gevent.event import Event
@@ -72,11 +72,29 @@
     last_pong: Pong | None = None
     last_heard_at: float = float("-inf")
     refused_since: float | None = None
+    leaving_since: float | None = None
     added_at: float = field(default_factory=steady_s)
     silent: bool = True
     ping_requested: Event = field(default_factory=Event)
     idle_connections: list[FrameClient] = field(default_factory=list)
 
+    def note_pong(self, pong: Pong) -> None:
+        """Keep a pong; a late one does not take back that the peer leaves."""
+        now = steady_s()
+        last = self.last_pong
+        if last is None or last.sender.incarnation != pong.sender.incarnation:
+            self.leaving_since = None
+        if pong.leaving and self.leaving_since is None:
+            self.leaving_since = now
+        leaving = self.leaving_since is not None
+        self.last_pong = replace(pong, leaving=leaving)
+        self.last_heard_at, self.refused_since = now, None
+
+    def received_pong(self, pong: Pong, now: float) -> ReceivedPong:
+        """Return the last pong with its age."""
+        leaving_s = 0.0 if self.leaving_since is None else now - self.leaving_since
+        return ReceivedPong(pong, now - self.last_heard_at, leaving_s)
+
     def acquire(self) -> FrameClient:
         """Return an idle connection or a new one."""
         if self.idle_connections:
@@ -111,6 +129,7 @@
         )
         self._peers: dict[str, _Peer] = {}
         self._watched_peer = ""
+        self._pong_heard = Event()
         self._handlers: dict[type, Callable[..., PeerMessage]] = {
             Ping: self._handle_ping,
             AskMembers: lambda _: MembersAre(tuple(self._all_cards())),
@@ -171,7 +190,7 @@
         """Return recent pongs with ages, without peers that now refuse connections."""
         now = steady_s()
         return [
-            ReceivedPong(peer.last_pong, now - peer.last_heard_at)
+            peer.received_pong(peer.last_pong, now)
             for peer in self._peers.values()
             if peer.last_pong is not None
             and now - peer.last_heard_at <= within_s
@@ -197,6 +216,11 @@
         for peer in self._peers.values():
             peer.ping_requested.set()
 
+    def wait_for_pong(self, timeout_s: float) -> None:
+        """Wait until a peer is heard, for at most ``timeout_s``."""
+        self._pong_heard.clear()
+        self._pong_heard.wait(timeout_s)
+
     def _all_cards(self) -> list[PeerCard]:
         return [self._own_card, *(peer.card for peer in self._peers.values())]
 
@@ -237,7 +261,8 @@
         if peer.silent:
             peer.silent = False
             log("peer_heard", peer=card.name, incarnation=card.incarnation)
-        peer.last_pong, peer.last_heard_at, peer.refused_since = pong, steady_s(), None
+        peer.note_pong(pong)
+        self._pong_heard.set()
 
     def _add_or_update(self, card: PeerCard) -> None:
         if card.name == self._own_card.name:
--- a/testing/builders/cluster.py
+++ b/testing/builders/cluster.py
@@ -1,5 +1,8 @@
 """Build jobs, steps, hosts and reports for tests of the hub's services."""
 
+from dataclasses import replace
+
+from primrosehub.border.codec import encode
 from primrosehub.core.batch import AcceptedJob, BatchSpec, StepSpec, TaskId
 from primrosehub.core.clusterconfig import (
     AdviceCost,
@@ -101,11 +104,28 @@
 
 
 def a_heard_pong(
-    name, age_s, owner=None, heard_s=1e9, incarnation=None, power=1.0, **state
+    name,
+    age_s,
+    owner=None,
+    heard_s=1e9,
+    incarnation=None,
+    power=1.0,
+    leaving_s=0.0,
+    **state,
 ):
     row = owner or an_owner_row("hub-1")
     seen = OwnerSeen(row.epoch, row.incarnation, row.name, heard_s)
     values = {"config_version": 1, "store_reached": True} | state
-    return ReceivedPong(
-        Pong(a_peer_card(name, incarnation, power), seen, **values), age_s
-    )
+    pong = Pong(a_peer_card(name, incarnation, power), seen, **values)
+    return ReceivedPong(pong, age_s, leaving_s)
+
+
+def an_older_builds_news(name, address, incarnation=None, **state):
+    """Return the body of a ping or pong, without fields that came later."""
+    values = {
+        "sender": replace(a_peer_card(name, incarnation), address=address),
+        "owner": OwnerSeen(),
+        "config_version": 1,
+        "store_reached": True,
+    }
+    return encode(values | state)
--- a/testing/hub/test_owners.py
+++ b/testing/hub/test_owners.py
@@ -3,11 +3,15 @@
 import socket
 
 import gevent
+import pytest
 
 from primrosehub.binaries.hub import leave
+from primrosehub.border.frames import FrameClient, FrameServer
+from primrosehub.kernel.clock import steady_s
 from primrosehub.services.names import cluster
-from primrosehub_standins.hub_cell import PREFIX, follower
+from primrosehub_standins.hub_cell import IP, PREFIX, follower, free_port
 from primrosehub_standins.row_store import EndpointState
+from testing.builders.cluster import an_older_builds_news
 
 
 def test_running_work_survives_the_death_of_its_owner(start_hubs):
@@ -60,6 +64,163 @@
     stopping.join()
 
 
+@pytest.mark.parametrize("hubs", [1, 3])
+def test_the_owner_starts_jobs_while_all_daemons_leave(start_hubs, hubs):
+    cell = start_hubs(hubs=hubs)
+    leader = cell.leader()
+    stopping = [gevent.spawn(hub.stop) for hub in cell.hubs]
+    gevent.sleep(1.0)
+    assert leader.leading
+    job = cell.submit(leader)
+    cell.until(lambda: cell.starts(job), "the job did not start", 1.0)
+    gevent.joinall(stopping, raise_error=True)
+    stored = cell.store.value("owner", "s", "cell")
+    assert stored["incarnation"] == ""
+
+
+def test_jobs_start_while_all_daemons_but_one_leave_in_overlap(start_hubs):
+    cell = start_hubs(hubs=4)
+    leader = cell.leader()
+    staying = follower(cell)
+    leaving = [leader, *(h for h in cell.hubs if h not in (leader, staying))]
+    stopping, jobs = [], []
+    for hub in leaving:
+        stopping.append(gevent.spawn(hub.stop))
+        for _ in range(4):
+            jobs.append(cell.submit(staying))
+            gevent.sleep(0.1)
+    for job in jobs:
+        cell.wait_for(staying, job, "completed")
+        assert len(cell.starts(job)) == 1
+    gevent.joinall(stopping, raise_error=True)
+    assert staying.leading
+
+
+def test_a_leaving_owner_goes_on_until_a_peer_has_started(start_hubs):
+    cell = start_hubs(hubs=3)
+    first = cell.leader()
+    stopping = [gevent.spawn(first.stop)]
+    second = cell.until(
+        lambda: next((h for h in cell.hubs if h.leading and h is not first), None),
+        "no other daemon took over",
+    )
+    third = next(h for h in cell.hubs if h not in (first, second))
+    stopping += [gevent.spawn(third.stop), gevent.spawn(second.stop)]
+    gevent.sleep(1.0)
+    assert second.leading
+    started = cell.add_hub(3)
+    cell.until(lambda: started.leading, "the started daemon did not take over")
+    assert second.kernel is not None
+    assert not second.leading
+    gevent.joinall(stopping, raise_error=True)
+    assert started.leading
+
+
+def test_a_leaving_daemon_takes_over_when_all_leave_and_the_owner_dies(start_hubs):
+    cell = start_hubs()
+    leader, heir = cell.leader(), follower(cell)
+    stopping = [gevent.spawn(hub.stop) for hub in (leader, heir)]
+    gevent.sleep(0.3)
+    stopping[0].kill()
+    leader.kill()
+    cell.until(lambda: heir.leading, "the leaving daemon did not take over", 2.0)
+    job = cell.submit(heir)
+    cell.until(lambda: cell.starts(job), "the job did not start")
+    stopping[1].join()
+    assert cell.store.value("owner", "s", "cell")["incarnation"] == ""
+
+
+def test_a_daemon_that_has_left_does_not_take_over_again(start_hubs):
+    cell = start_hubs()
+    first, second = cell.leader(), follower(cell)
+    first.kernel.stopping.set()
+    leaving = gevent.spawn(leave, first.kernel)
+    cell.until(lambda: second.leading, "the other daemon did not take over")
+    second.kill()
+    leaving.join()
+    assert not first.leading
+
+
+@pytest.mark.parametrize("after_s", [1.0, 1.1, 1.2])
+def test_a_daemon_that_ends_in_a_take_over_leaves_no_row_that_names_it(
+    start_hubs, after_s
+):
+    cell = start_hubs()
+    owner, heir = cell.leader(), follower(cell)
+    ownership = heir.kernel.find(cluster.OWNERSHIP)
+    heir.kernel.stopping.set()
+    leaving = gevent.spawn(ownership.release, steady_s() + 5.0)
+    heir.store_endpoint.answer_delay_s = 0.3
+    gevent.sleep(0.1)
+    owner.kill()
+    gevent.sleep(after_s)
+    ownership.stop_standing_by()
+    leaving.join()
+    gevent.sleep(1.0)  # longer than a call to the store
+    name = cell.store.value("owner", "s", "cell")["incarnation"]
+    assert name != heir.kernel.find(cluster.PEERING).own_card.incarnation
+    assert not heir.leading
+
+
+def test_a_daemon_that_has_released_learns_of_the_next_owner(start_hubs):
+    cell = start_hubs()
+    first, second = cell.leader(), follower(cell)
+    first.kernel.stopping.set()
+    leaving = gevent.spawn(leave, first.kernel)
+    cell.until(lambda: second.leading, "the other daemon did not take over")
+    ownership = first.kernel.find(cluster.OWNERSHIP)
+    cell.until(
+        lambda: ownership.known_owner.name == second.settings.name,
+        "the leaving daemon did not learn of the new owner",
+        1.0,
+    )
+    leaving.join()
+
+
+def test_a_pong_that_does_not_tell_leaving_is_of_a_daemon_that_stays(start_hubs):
+    cell = start_hubs(hubs=1)
+    (leader,) = cell.hubs
+    stopping = gevent.spawn(leader.stop)
+    gevent.sleep(0.5)
+    assert leader.leading
+    address = f"{IP}:{free_port()}"
+    news = an_older_builds_news("older-build", address)
+    server = FrameServer(*address_pair(address), lambda _: b"Pong\n" + news, 8)
+    server.start()
+    ping(leader, news)
+    cell.until(lambda: not leader.leading, "not released to the older build", 1.0)
+    stopping.join()
+    server.stop()
+
+
+def test_a_late_pong_does_not_take_back_that_a_peer_leaves(start_hubs):
+    cell = start_hubs(hubs=1)
+    (hub,) = cell.hubs
+    address = f"{IP}:{free_port()}"
+
+    def told_leaving():
+        pongs = hub.kernel.find(cluster.PEERING).recent_pongs(9.0)
+        return [pong.leaving for pong in pongs]
+
+    ping(hub, an_older_builds_news("hub-9", address, leaving=True))
+    assert told_leaving() == [True]
+    ping(hub, an_older_builds_news("hub-9", address, leaving=False))
+    assert told_leaving() == [True]
+    ping(hub, an_older_builds_news("hub-9", address, incarnation="second"))
+    assert told_leaving() == [False]
+
+
+def address_pair(address):
+    ip, _, port = address.rpartition(":")
+    return ip, int(port)
+
+
+def ping(hub, news):
+    client = FrameClient(*address_pair(hub.settings.peer))
+    client.call(b"Ping\n" + news, 1.0)
+    client.close()
+
+
 def test_a_stopping_daemon_closes_each_connection_after_its_answer(start_hubs):
     cell = start_hubs()
     hub = follower(cell)
--- a/testing/policy/test_succession.py
+++ b/testing/policy/test_succession.py
@@ -2,15 +2,23 @@
 from testing.builders.cluster import a_heard_pong, a_peer_card, an_owner_row
 
 from primrosehub.policy.succession import (
+    MIN_TERM_S,
     RANK_DELAY_S,
     REFUSED_S,
+    RELEASE_RESERVE_S,
+    SAME_STOP_S,
     SILENCE_S,
+    HeirReady,
+    KeepOwnership,
+    Leaving,
+    OutOfTime,
     OwnerAlive,
     OwnerGone,
     OwnerSilent,
     OwnView,
     assess_owner,
     candidate_rank,
+    decide_release,
     same_term,
     take_over_delay_s,
 )
@@ -109,3 +117,84 @@
     later = an_owner_row("hub-1", epoch=3, number=99)
     assert same_term(OWNER, later)
     assert not same_term(OWNER, an_owner_row("hub-1", epoch=4))
+
+
+def leaving(for_s=1.0, left_s=RELEASE_RESERVE_S + 2.0):
+    return Leaving(for_s, left_s)
+
+
+def test_a_leaving_owner_releases_to_a_peer_that_stays():
+    assert decide_release(leaving(), [a_heard_pong("hub-3", 0.1)]) == HeirReady("hub-3")
+
+
+@pytest.mark.parametrize(
+    "state",
+    [
+        {"store_reached": False},
+        {"leaving": True},
+        {"slow": True},
+        {"config_version": 0},
+    ],
+    ids=["cut-from-store", "leaving", "slow", "not-ready"],
+)
+def test_a_leaving_owner_goes_on_beside_peers_that_cannot_take_over(state):
+    news = a_heard_pong("hub-3", 0.1, **state)
+    assert decide_release(leaving(), [news]) == KeepOwnership()
+
+
+def test_a_leaving_owner_chooses_by_no_pong_from_before_its_stop():
+    news = a_heard_pong("hub-3", 0.3)
+    assert decide_release(leaving(for_s=0.2), [news]) == KeepOwnership()
+    assert decide_release(leaving(for_s=0.4), [news]) == HeirReady("hub-3")
+
+
+def test_a_leaving_owner_without_an_heir_releases_before_its_time_is_over():
+    news = a_heard_pong("hub-3", 0.1, leaving=True)
+    nearly_over = leaving(left_s=RELEASE_RESERVE_S - 0.1)
+    assert decide_release(nearly_over, [news]) == OutOfTime()
+    assert decide_release(leaving(left_s=RELEASE_RESERVE_S + 0.1), []) == (
+        KeepOwnership()
+    )
+
+
+def test_a_leaving_daemon_takes_over_where_all_leave():
+    news = a_heard_pong("hub-3", 0.1, leaving=True, leaving_s=3.0)
+    assert candidate_rank(ME, True, OWNER, [news], leaving()) == 0
+
+
+def test_a_leaving_daemon_does_not_take_over_beside_an_able_peer_that_stays():
+    news = a_heard_pong("hub-3", 0.1)
+    assert candidate_rank(ME, True, OWNER, [news], leaving()) is None
+    assert take_over_delay_s(OwnerGone(), None) is None
+
+
+def test_a_leaving_daemon_comes_after_a_slow_peer_that_stays():
+    news = a_heard_pong("hub-3", 0.1, slow=True)
+    assert candidate_rank(ME, True, OWNER, [news], leaving()) == 1
+
+
+def test_a_leaving_daemon_with_little_time_left_does_not_take_over():
+    enough_s = RELEASE_RESERVE_S + MIN_TERM_S
+    assert candidate_rank(ME, True, OWNER, [], leaving(left_s=enough_s + 0.1)) == 0
+    assert candidate_rank(ME, True, OWNER, [], leaving(left_s=enough_s - 0.1)) is None
+
+
+def test_of_leaving_daemons_the_one_stopped_last_comes_first():
+    later = a_heard_pong("hub-3", 0.1, leaving=True, leaving_s=0.1)
+    earlier = a_heard_pong("hub-1", 0.1, leaving=True, leaving_s=2.0)
+    heard = [later, earlier]
+    row = an_owner_row("hub-9")
+    assert candidate_rank(ME, True, row, heard, leaving(for_s=1.0)) == 1
+    assert candidate_rank(ME, True, row, heard[1:], leaving(for_s=1.0)) == 0
+
+
+def test_leaving_daemons_stopped_together_are_ranked_as_those_that_stay():
+    together_s = 1.0 + SAME_STOP_S / 2
+    stronger = a_heard_pong("hub-3", 0.1, power=2.0, leaving=True, leaving_s=together_s)
+    weaker = a_heard_pong("hub-4", 0.1, leaving=True, leaving_s=1.0 - SAME_STOP_S / 2)
+    assert candidate_rank(ME, True, OWNER, [stronger, weaker], leaving(1.0)) == 1
+
+
+def test_a_leaving_daemon_that_is_not_able_waits_for_all_others():
+    news = a_heard_pong("hub-3", 0.1, leaving=True, leaving_s=3.0)
+    assert candidate_rank(ME, False, OWNER, [news], leaving()) == 1
