Repeat a release that the store refuses until the daemon ends

Cause: a daemon that left ended its term, and if the store then refused the write (busy, or lost for a moment to it and its heir) gave up: the row went on naming it, so no peer took over until its process had ended, seconds later.

Ruled out: keeping the term until the write succeeds, as the old owner would order beside its heir; beginning the same epoch's term again, which numbers attempts a second time.

Test: test_a_release_that_the_store_refuses_is_repeated (both daemons' store refuses for 0.5 s from the signal on) failed before: no other daemon took over within 10 s. Nothing else was measured.

--- a/src/primrosehub/services/ownership.py
+++ b/src/primrosehub/services/ownership.py
@@ -220,13 +220,13 @@
 
     def _hand_over(self) -> None:
         try:
-            self._scheduler.flush()
+            self._flush()
             with self._lock:
                 if not self._leading:
                     return
                 row = replace(self._row, incarnation="", number=self._row.number + 1)
                 self._scheduler.end_term()
-                self._commit_row(row, RowsTransaction())
+                self._vacate(row)
             log("ownership_released", epoch=row.epoch)
         except (StoreRefused, OwnershipLost) as error:
             log("ownership_not_released", reason=str(error))
@@ -236,6 +236,25 @@
         self._owner_status = OwnerAlive()
         self._peering.ping_now()
 
+    def _flush(self) -> None:
+        """Store the last progress; hosts list what is refused to the next owner."""
+        try:
+            self._scheduler.flush()
+        except StoreRefused as error:
+            log("progress_not_stored", reason=str(error)[:120])
+
+    def _vacate(self, row: OwnerRow) -> None:
+        """Write the row; a daemon that leaves repeats what is refused until its end."""
+        while True:
+            try:
+                self._commit_row(row, RowsTransaction())
+                return
+            except StoreRefused as error:
+                if not self._released or steady_s() >= self._leaves_at:
+                    raise
+                log("release_refused", reason=str(error)[:120])
+            gevent.sleep(RETRY_S)
+
     def _watch_processor_speed(self) -> None:
         while True:
             gevent.sleep(SPEED_CHECK_INTERVAL_S)
--- a/testing/hub/test_owners.py
+++ b/testing/hub/test_owners.py
@@ -141,6 +141,22 @@
     assert not first.leading
 
 
+def test_a_release_that_the_store_refuses_is_repeated(start_hubs):
+    cell = start_hubs()
+    first, second = cell.leader(), follower(cell)
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.BUSY
+    first.kernel.stopping.set()
+    leaving = gevent.spawn(leave, first.kernel)
+    gevent.sleep(0.5)
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.OPEN
+    cell.until(lambda: second.leading, "the other daemon did not take over")
+    assert not leaving.dead, "taken over only after the daemon had left"
+    leaving.join()
+    assert not first.leading
+
+
 @pytest.mark.parametrize("after_s", [1.0, 1.1, 1.2])
 def test_a_daemon_that_ends_in_a_take_over_leaves_no_row_that_names_it(
     start_hubs, after_s
