Call for advice through daemons that leave, until they end

Cause: a daemon that leaves lives on for 3 to 4 s and answers its peers, but no advice was asked for through it.

Change: daemons that leave call too, after those that stay. A call that is lost with its daemon ("the connection closed in the middle of a frame") is made again at once by another. A daemon is avoided after a failure by its incarnation, so that it is used once it has started again.

--- a/src/primrosehub/services/_advice_calls.py
+++ b/src/primrosehub/services/_advice_calls.py
@@ -51,9 +51,10 @@
     def _make_next_calls(self) -> None:
         """Make calls for the next requests, up to one per available daemon.
 
-        Long calls are made by some of the daemons only.
+        Long calls are limited by the daemons that stay, as they outlast the others.
         """
         daemons = self._term.advising.available_daemons
+        staying = self._term.advising.staying_daemons
         while (
             self._under_way < daemons
             and (following := next(self._requests, None)) is not None
@@ -65,7 +66,7 @@
             cause, hosts = _cause_and_hosts(request, spaces)
             cost = step.job.queue.advice
             call_s = cost.call_s(len(hosts))
-            if hosts and may_call(call_s, self._long_under_way, daemons):
+            if hosts and may_call(call_s, self._long_under_way, staying):
                 step.advice_pending, step.advised_at = True, steady_s()
                 self._under_way += 1
                 self._long_under_way += call_s >= LONG_CALL_S
--- a/src/primrosehub/services/advising.py
+++ b/src/primrosehub/services/advising.py
@@ -9,10 +9,11 @@
 
 from collections import Counter
 from contextlib import ExitStack
+from dataclasses import dataclass
 
 from primrosehub.core.fleet import Advice
 from primrosehub.core.logs import log
-from primrosehub.core.peering import AdviceIs, AskAdvice, NoAdvice
+from primrosehub.core.peering import AdviceIs, AskAdvice, NoAdvice, PeerCard
 from primrosehub.kernel import Kernel
 from primrosehub.kernel.clock import steady_s
 from primrosehub.platform.advice import AdviceClient, AdviceUnavailable
@@ -22,6 +23,14 @@
 EXTRA_TIMEOUT_S = 1.5  # a call times out this long after its expected duration
 PEER_FRESH_S = 0.8  # a peer must have answered a ping within this time
 AVOID_AFTER_FAILURE_S = 2.0  # a daemon whose call failed is not used for this long
+MAX_DAEMONS_PER_CALL = 2  # the second after the first was lost in the call
+
+
+@dataclass(frozen=True, slots=True)
+class _PeerLost:
+    """Report that a daemon did not answer, so that another can make the call."""
+
+    detail: str
 
 
 class AdvisingService:
@@ -39,6 +48,11 @@
         """Return how many daemons can currently call the advice service."""
         return len(self._usable_daemons())
 
+    @property
+    def staying_daemons(self) -> int:
+        """Return how many of the available daemons are not leaving."""
+        return len(self._usable_daemons(with_leaving=False))
+
     def start(self, stack: ExitStack) -> None:
         """Register the handler for peers' requests."""
         self._peering = self._kernel.find(PEERING)
@@ -51,51 +65,69 @@
         self, job: str, occurrence: int, step: int, hosts: list[str], cost_s: float
     ) -> Advice | None:
         """Return advice, or None if none could be obtained."""
-        own_name = self._peering.own_card.name
-        name = min(
-            self._usable_daemons(),
-            key=lambda daemon: (self._calls_under_way[daemon], daemon != own_name),
-        )
         ask = AskAdvice(job, occurrence, step, tuple(hosts), cost_s + EXTRA_TIMEOUT_S)
+        for _ in range(MAX_DAEMONS_PER_CALL):
+            card = min(
+                self._usable_daemons(),
+                key=lambda daemon: self._calls_under_way[daemon.name],
+            )
+            answer = self._call_through(card.name, ask)
+            self._metrics.count("advice_calls", outcome=type(answer).__name__)
+            match answer:
+                case AdviceIs(tickets, valid_s):
+                    return Advice(tickets, valid_s)
+                case NoAdvice(detail):
+                    self._avoid(card, ask, detail)
+                    return None
+                case _PeerLost(detail):
+                    self._avoid(card, ask, detail)
+        return None
+
+    def _call_through(
+        self, name: str, ask: AskAdvice
+    ) -> AdviceIs | NoAdvice | _PeerLost:
         self._calls_under_way[name] += 1
         try:
-            answer = (
-                self._call_service(ask)
-                if name == own_name
-                else self._ask_peer(name, ask)
-            )
+            if name == self._peering.own_card.name:
+                return self._call_service(ask)
+            return self._ask_peer(name, ask)
         finally:
             self._calls_under_way[name] -= 1
-        self._metrics.count("advice_calls", outcome=type(answer).__name__)
-        match answer:
-            case AdviceIs(tickets, valid_s):
-                return Advice(tickets, valid_s)
-            case NoAdvice(detail):
-                log("advice_missing", job=job, step=step, by=name, reason=detail)
-                self._avoided_until[name] = steady_s() + AVOID_AFTER_FAILURE_S
-        return None
 
-    def _usable_daemons(self) -> list[str]:
-        """Return the daemons to call through; only this one if all failed recently."""
+    def _avoid(self, card: PeerCard, ask: AskAdvice, reason: str) -> None:
+        log("advice_missing", job=ask.job, step=ask.step, by=card.name, reason=reason)
         now = steady_s()
-        own_name = self._peering.own_card.name
-        peers = [
-            pong.sender.name
-            for pong in self._peering.recent_pongs(PEER_FRESH_S)
-            if not pong.leaving
-        ]
+        for other, until in list(self._avoided_until.items()):
+            if until <= now:
+                del self._avoided_until[other]
+        self._avoided_until[card.incarnation] = now + AVOID_AFTER_FAILURE_S
+
+    def _usable_daemons(self, with_leaving: bool = True) -> list[PeerCard]:
+        """Return the daemons to call through; only this one if all failed recently.
+
+        A daemon that leaves goes on calling until it ends. It comes last, as another
+        must repeat a call that is under way then.
+        """
+        now = steady_s()
+        own_card = self._peering.own_card
+        pongs = sorted(
+            self._peering.recent_pongs(PEER_FRESH_S), key=lambda pong: pong.leaving
+        )
         usable = [
-            name
-            for name in (own_name, *peers)
-            if self._avoided_until.get(name, now) <= now
+            card
+            for card in (
+                own_card,
+                *(pong.sender for pong in pongs if with_leaving or not pong.leaving),
+            )
+            if self._avoided_until.get(card.incarnation, now) <= now
         ]
-        return usable or [own_name]
+        return usable or [own_card]
 
-    def _ask_peer(self, name: str, ask: AskAdvice) -> AdviceIs | NoAdvice:
+    def _ask_peer(self, name: str, ask: AskAdvice) -> AdviceIs | NoAdvice | _PeerLost:
         try:
             answer = self._peering.call(name, ask, ask.timeout_s + 0.1)
         except PeerSilent as error:
-            return NoAdvice(str(error))
+            return _PeerLost(str(error))
         if isinstance(answer, AdviceIs | NoAdvice):
             return answer
         return NoAdvice(f"unexpected answer {type(answer).__name__}")
--- a/src/primrosehub/services/names/cluster.py
+++ b/src/primrosehub/services/names/cluster.py
@@ -178,6 +178,10 @@
     def available_daemons(self) -> int:
         """Return how many daemons can currently call the advice service."""
 
+    @property
+    def staying_daemons(self) -> int:
+        """Return how many of the available daemons are not leaving."""
+
     def advise(
         self, job: str, occurrence: int, step: int, hosts: list[str], cost_s: float
     ) -> Advice | None:
--- a/testing/builders/planner_harness.py
+++ b/testing/builders/planner_harness.py
@@ -27,8 +27,8 @@
 class PlannerHarness:
     """Plan for a few worker hosts of eight cores; the test answers calls for advice."""
 
-    def __init__(self, hosts=2, callers=1, limit=NO_RESOURCES):
-        self.advising = FakeAdvising(callers)
+    def __init__(self, hosts=2, callers=1, staying=None, limit=NO_RESOURCES):
+        self.advising = FakeAdvising(callers, staying)
         self.book = JobBook(1)
         self.tasks = FakeTasks()
         infos = [a_worker_host(f"h{number}") for number in range(hosts)]
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -6,6 +6,7 @@
 from gevent.event import Event
 
 from primrosehub.core.fleet import Advice
+from primrosehub.core.peering import AdviceIs
 from primrosehub.core.resources import total
 from primrosehub.core.rules import Configuration
 from primrosehub.core.table import (
@@ -17,6 +18,7 @@
     TableUnavailable,
 )
 from primrosehub.policy.host_pace import HostPace
+from primrosehub.services.names.cluster import PeerSilent
 from primrosehub.services.names.v1 import Keys
 
 
@@ -97,8 +99,9 @@
 class FakeAdvising:
     """Block each call for advice until ``answer`` allows all hosts that it names."""
 
-    def __init__(self, callers=1):
+    def __init__(self, callers=1, staying=None):
         self.available_daemons = callers
+        self.staying_daemons = callers if staying is None else staying
         self.calls = []
         self.hosts_asked = set()
         self._pending = {}
@@ -151,3 +154,26 @@
 
     def close(self):
         gevent.killall(self._running)
+
+
+class FakePeering:
+    """Answer calls for advice with none allowed, but for silent peers."""
+
+    def __init__(self, own, pongs=(), silent=()):
+        self.own_card = own
+        self.called = []
+        self.pongs = pongs
+        self._silent = silent
+
+    def register_handler(self, kind, handler):
+        pass
+
+    def recent_pongs(self, within_s):
+        return self.pongs
+
+    def call(self, name, message, timeout_s):
+        self.called.append(name)
+        if name in self._silent:
+            raise PeerSilent(f"{name} is silent")
+        gevent.sleep(0)
+        return AdviceIs({}, 1.0)
--- a/testing/protocol/test_planner.py
+++ b/testing/protocol/test_planner.py
@@ -87,6 +87,14 @@
     assert harness.advising.under_way == [long_jobs[0], *quick_jobs]
 
 
+def test_daemons_that_leave_allow_no_more_long_calls(make_harness):
+    harness = make_harness(hosts=8, callers=7, staying=3)
+    for number in range(5):
+        harness.add(number, a_step(cpu_m=4000, estimate_s=5.0), LONG_QUEUE)
+    harness.plan_until_settled()
+    assert len(harness.advising.under_way) == 1
+
+
 def test_a_single_daemon_makes_long_calls_too(make_harness):
     harness = make_harness(hosts=8, callers=1)
     job = harness.add(1, a_step(cpu_m=4000, estimate_s=5.0), LONG_QUEUE)
