End a planned stop of an entry daemon by its connections, not by its requests

Callers saw connections closed without an answer, or a bare status 500 without a kind, when they had sent a request up to 1 s before an entry daemon exited.

Job submissions were not counted, idle connections stayed open until the exit, and gevent answers a killed request with "500 Internal Server Error" or, while it reads the request, not at all.

Change: the caller server is a DrainableServer. While the daemon stops, responses carry "Connection: close", the listener closes, idle connections are ended and all others are answered; quick requests that are new are refused as before. What is still in progress after drain_s gets an answer: "unavailable" if it certainly did not run (it waited for a slot or for its own body), else "outcome_unknown". An ended connection is read for one more second, since most callers notice the end only when they use it again. The membership row is written beside the drain and no longer delays it. A line callers_drained tells how it went.

--- a/src/primrosehub/binaries/entry.py
+++ b/src/primrosehub/binaries/entry.py
@@ -5,9 +5,12 @@
 
 monkey.patch_all()
 
+from contextlib import ExitStack
+
 from primrosehub.binaries._daemon import run_daemon
 from primrosehub.border.settings import EntrySettings
 from primrosehub.kernel import Kernel
+from primrosehub.kernel.clock import steady_s
 from primrosehub.services.names import METRICS, v1
 
 MANIFEST = (
@@ -26,9 +29,14 @@
 
 
 def leave(kernel: Kernel) -> None:
-    """Announce the stop and finish the requests in flight."""
-    kernel.find(v1.MEMBERSHIP).leave()
-    kernel.find(v1.QUICK).drain(kernel.settings.drain_s)
+    """Announce the stop and answer the requests that have arrived."""
+    deadline = steady_s() + kernel.settings.drain_s
+    with ExitStack() as stack:
+        membership = kernel.find(v1.MEMBERSHIP)
+        announcement = kernel.tasks(stack).spawn("leave", membership.leave)
+        kernel.find(v1.QUICK).refuse_new()
+        kernel.find(v1.CALLERS_HTTP).drain(kernel.settings.drain_s)
+        announcement.join(max(0.0, deadline - steady_s()))
 
 
 def main() -> None:
--- a/src/primrosehub/core/errors.py
+++ b/src/primrosehub/core/errors.py
@@ -58,6 +58,10 @@
 }
 
 
+class RequestAbandoned(BaseException):
+    """End a request that is still in progress when the process has to exit."""
+
+
 class HubError(Exception):
     """Carry an error kind and a detail that tells the caller what to do."""
 
--- a/src/primrosehub/services/_backend_pool.py
+++ b/src/primrosehub/services/_backend_pool.py
@@ -9,7 +9,7 @@
 from gevent.event import Event
 
 from primrosehub.border.http_client import HttpEndpoint, NoAnswer, NotSent
-from primrosehub.core.errors import ErrorKind, HubError
+from primrosehub.core.errors import ErrorKind, HubError, RequestAbandoned
 from primrosehub.core.logs import log
 from primrosehub.core.platform import Host
 from primrosehub.core.rendezvous import choose
@@ -132,6 +132,11 @@
                     "no slot became free before the deadline; set a later deadline or "
                     "try again",
                 )
+        except RequestAbandoned:
+            raise HubError(
+                ErrorKind.UNAVAILABLE,
+                "this entry daemon stopped before a slot became free; try again",
+            ) from None
         finally:
             if slot_freed in queue:
                 queue.remove(slot_freed)
--- a/src/primrosehub/services/callers_http.py
+++ b/src/primrosehub/services/callers_http.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import uuid
-from collections.abc import Callable
-from contextlib import ExitStack
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -12,8 +12,8 @@
 
 import gevent
 import orjson
+from gevent import Greenlet, socket
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIServer
 
 from primrosehub.border.caller_models import (
     JobSubmission,
@@ -21,10 +21,11 @@
     problem_document,
 )
 from primrosehub.border.codec import decode_from_caller
-from primrosehub.border.http_server import NoDelayHandler
-from primrosehub.core.errors import ErrorKind, HubError
+from primrosehub.border.http_server import DrainableHandler, DrainableServer
+from primrosehub.core.errors import ErrorKind, HubError, RequestAbandoned
 from primrosehub.core.logs import log
 from primrosehub.kernel import Kernel
+from primrosehub.kernel.clock import steady_s
 from primrosehub.services.names import METRICS
 from primrosehub.services.names.v1 import (
     ADMISSION,
@@ -58,6 +59,9 @@
 MAX_IDEMPOTENCY_KEY_CHARS = 255
 MAX_JOBS_PER_PAGE = 200
 MAX_DEADLINE_MS = 3_600_000  # one hour
+# For requests that cross the end of their connection; callers may keep theirs open.
+ENDED_READ_S = 1.0
+ABANDON_TIMEOUT_S = 0.5  # to answer the requests that are abandoned
 _PROBLEM = "application/problem+json"
 _JSON = "application/json"
 
@@ -69,7 +73,7 @@
     body: bytes
 
 
-class _TimeoutHandler(NoDelayHandler):
+class _CallersHandler(DrainableHandler):
     """Close connections on which a request's head does not arrive in time."""
 
     def read_requestline(self) -> str:
@@ -83,6 +87,19 @@
             return super().read_request(raw_requestline)
         return False
 
+    def end(self) -> None:
+        """Tell the caller that no more responses follow; soon stop reading."""
+        if not self._ended:
+            gevent.spawn_later(ENDED_READ_S, _stop_reading, self.socket)
+        super().end()
+
+
+def _stop_reading(sock: socket.socket) -> None:
+    try:
+        sock.shutdown(socket.SHUT_RD)
+    except OSError:
+        pass  # the connection is closed
+
 
 class CallersServer:
     """Serve callers, with one task for each connection."""
@@ -90,6 +107,8 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._settings = kernel.settings
+        self._in_progress: set[Greenlet] = set()
+        self._abandoning = False
 
     def start(self, stack: ExitStack) -> None:
         """Start listening; stop when the stack closes."""
@@ -99,26 +118,79 @@
         self._metrics = self._kernel.find(METRICS)
         self._quick = self._kernel.find(QUICK)
         address = self._settings.callers
-        server = WSGIServer(
+        self._server = DrainableServer(
             (str(address.ip), address.port),
             self._serve,
-            handler_class=_TimeoutHandler,
             spawn=Pool(self._settings.max_connections),
             log=None,
             error_log=_ErrorLog(),
         )
-        server.header_timeout_s = self._settings.header_timeout_s
-        server.start()
-        stack.callback(server.stop, 1.0)
+        self._server.handler_class = _CallersHandler
+        self._server.header_timeout_s = self._settings.header_timeout_s
+        self._server.start()
+        stack.callback(self._server.stop, 1.0)
+
+    def drain(self, limit_s: float) -> None:
+        """Answer the requests that have arrived, then end all connections.
+
+        Requests still in progress after ``limit_s`` are told so.
+        """
+        began_at = steady_s()
+        connections = self._server.open_connections
+        self._server.drain(limit_s)
+        abandoned = len(self._in_progress)
+        self._abandon_requests()
+        log(
+            "callers_drained",
+            connections=connections,
+            left=self._server.open_connections,
+            abandoned=abandoned,
+            took_ms=round((steady_s() - began_at) * 1000),
+        )
+
+    def _abandon_requests(self) -> None:
+        self._abandoning = True
+        for task in self._in_progress:
+            # Only the hub may throw into a greenlet and go on.
+            gevent.get_hub().loop.run_callback(self._abandon, task)
+        self._server.drain(ABANDON_TIMEOUT_S)
+
+    def _abandon(self, task: Greenlet) -> None:
+        if task in self._in_progress:
+            task.throw(RequestAbandoned)
+
+    @contextmanager
+    def _track_request(self) -> Iterator[None]:
+        if self._abandoning:
+            raise HubError(
+                ErrorKind.UNAVAILABLE, "this entry daemon is stopping; try again"
+            )
+        task = gevent.getcurrent()
+        self._in_progress.add(task)
+        try:
+            yield
+        finally:
+            self._in_progress.discard(task)
 
     def _serve(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> list[bytes]:
         try:
-            reply = self._route(environ)
+            with self._track_request():
+                reply = self._route(environ)
         except HubError as error:
             self._metrics.count("caller_errors", kind=error.kind)
             reply = _problem(error)
+        except RequestAbandoned:
+            log("request_abandoned", path=environ["PATH_INFO"])
+            self._metrics.count("caller_errors", kind=ErrorKind.OUTCOME_UNKNOWN)
+            reply = _problem(
+                HubError(
+                    ErrorKind.OUTCOME_UNKNOWN,
+                    "the entry daemon stopped before the answer was complete; repeat "
+                    "the request if it is idempotent, else check whether it ran",
+                )
+            )
         except Exception as error:  # noqa: BLE001 - answered, logged and counted
             log("request_failed", path=environ["PATH_INFO"], error=repr(error))
             self._metrics.count("caller_errors", kind=ErrorKind.INTERNAL)
@@ -129,7 +201,10 @@
                     "error in its log",
                 )
             )
-        start_response(_status_line(reply.status), reply.headers)
+        headers = reply.headers
+        if self._kernel.stopping.is_set():
+            headers = [*headers, ("Connection", "close")]
+        start_response(_status_line(reply.status), headers)
         return [reply.body]
 
     def _route(self, environ: dict[str, Any]) -> _Reply:
@@ -244,6 +319,11 @@
                 "the body could not be read within "
                 f"{self._settings.header_timeout_s} s; send the request again",
             ) from None
+        except RequestAbandoned:
+            raise HubError(
+                ErrorKind.UNAVAILABLE,
+                "this entry daemon stopped before the body was complete; try again",
+            ) from None
         if len(body) > limit:
             raise HubError(
                 ErrorKind.TOO_LARGE,
--- a/src/primrosehub/services/names/v1.py
+++ b/src/primrosehub/services/names/v1.py
@@ -223,8 +223,8 @@
     def run(self, request: QuickRequest) -> QuickAnswer:
         """Return the answer of one backend server; raise HubError."""
 
-    def drain(self, timeout_s: float) -> bool:
-        """Refuse new requests and wait for the others; return whether all ended."""
+    def refuse_new(self) -> None:
+        """Refuse all requests from now on; those in progress go on."""
 
 
 class Jobs(Protocol):
@@ -243,6 +243,13 @@
         """Request a job's cancellation; return the job."""
 
 
+class Callers(Protocol):
+    """Serve callers over HTTP."""
+
+    def drain(self, limit_s: float) -> None:
+        """Answer the requests that have arrived, then end all connections."""
+
+
 TABLE: ServiceName[Table] = ServiceName("table")
 OBJECTS: ServiceName[Objects] = ServiceName("objects")
 HOST_LIST: ServiceName[HostList] = ServiceName("host-list")
@@ -255,5 +262,5 @@
 ADMISSION: ServiceName[Admission] = ServiceName("admission")
 QUICK: ServiceName[Quick] = ServiceName("quick")
 JOBS: ServiceName[Jobs] = ServiceName("jobs")
-CALLERS_HTTP: ServiceName[object] = ServiceName("callers-http")
+CALLERS_HTTP: ServiceName[Callers] = ServiceName("callers-http")
 OPS_HTTP: ServiceName[object] = ServiceName("ops-http")
--- a/src/primrosehub/services/quick.py
+++ b/src/primrosehub/services/quick.py
@@ -5,8 +5,6 @@
 import time
 from contextlib import ExitStack
 
-from gevent.event import Event
-
 from primrosehub.border.http_client import NoAnswer, NotSent, Response
 from primrosehub.core import keys
 from primrosehub.core.errors import ErrorKind, HubError
@@ -51,9 +49,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._retry_budget = MAX_RETRY_BUDGET
-        self._in_flight = 0
-        self._draining = False
-        self._idle = Event()
+        self._stopping = False
 
     def start(self, stack: ExitStack) -> None:
         """Start the pool of backend servers."""
@@ -70,13 +66,9 @@
         stack.callback(self._pool.close)
         self._pool.start()
 
-    def drain(self, timeout_s: float) -> bool:
-        """Refuse new requests and wait for the others; return whether all ended."""
-        self._draining = True
-        if self._in_flight:
-            self._idle.clear()
-            self._idle.wait(timeout_s)
-        return self._in_flight == 0
+    def refuse_new(self) -> None:
+        """Refuse all requests from now on; those in progress go on."""
+        self._stopping = True
 
     def run(self, request: QuickRequest) -> QuickAnswer:
         """Return the answer of one backend server; raise HubError."""
@@ -89,18 +81,14 @@
         team = self._admission.team_for(
             service.access, request.secret, f"service {service.name}"
         )
-        if self._draining:
+        if self._stopping:
             raise HubError(
                 ErrorKind.UNAVAILABLE, "this entry daemon is stopping; try again"
             )
-        self._in_flight += 1
         started = time.monotonic()
         try:
             return self._run_with_retries(request, _deadline(request, service), team)
         finally:
-            self._in_flight -= 1
-            if not self._in_flight:
-                self._idle.set()
             seconds = time.monotonic() - started
             self._metrics.observe("quick_seconds", seconds, service=service.name)
 
--- a/src/primrosehub_standins/cell.py
+++ b/src/primrosehub_standins/cell.py
@@ -252,6 +252,7 @@
         }
         if role == "entry":
             settings["callers"] = {"ip": ip, "port": ports.take(ip)}
+            settings |= self.layout.entry_settings
         path = self.folder / f"{name}.json"
         self.daemons[name] = Daemon(name, role, settings, path)
 
--- a/src/primrosehub_standins/layout.py
+++ b/src/primrosehub_standins/layout.py
@@ -27,6 +27,7 @@
     connections: int = 64
     shards: int = 4
     timing: dict[str, float] = field(default_factory=dict)
+    entry_settings: dict[str, Any] = field(default_factory=dict)
     worker_processes: int = 1
 
 
--- a/testing/builders/__init__.py
+++ b/testing/builders/__init__.py
@@ -98,6 +98,10 @@
 """
 
 
+def a_submission(**fields):
+    return {"queue": "nightly", "kind": "batch", "command": "sleep 0.1"} | fields
+
+
 def a_journal_event(event, at, task=0, attempt=1, host="w1", cpus=1, **fields):
     """Return a worker host's journal line about a task of job blue.1."""
     return {
