Answer the callers that wait for a connection when an entry daemon stops

A caller whose connection waited in the listener's queue, because max_connections were open, got a reset when the daemon stopped, however long it had waited.

Cause: a full pool accepts no connection, and closing the listener resets those in its queue. Idle connections are ended only after that, so no place becomes free in time.

Change: while the daemon stops it accepts without the limit. The queue is as long as the listen backlog at most, and no connection can be added after the listener closes.

--- a/src/primrosehub/services/callers_http.py
+++ b/src/primrosehub/services/callers_http.py
@@ -137,6 +137,9 @@
         """
         began_at = steady_s()
         connections = self._server.open_connections
+        # Connections above the limit wait in the listener's queue, which ends with it.
+        self._server.set_spawn(Pool())
+        self._server.start_accepting()
         self._server.drain(limit_s)
         abandoned = len(self._in_progress)
         self._abandon_requests()
--- a/testing/cell/test_stops.py
+++ b/testing/cell/test_stops.py
@@ -115,3 +115,13 @@
     assert time.monotonic() - stopped_at < 4.0
     busy.get()
     assert lost(kept) == []
+
+
+def test_a_stop_answers_callers_that_wait_for_one_of_the_connections(start_cell):
+    cell, _ = start_cell(entry_settings={"max_connections": 2})
+    kept = connect(cell, 2)
+    waiting = gevent.spawn(KeptConnection, cell, "waiting")
+    gevent.sleep(0.5)
+    assert not waiting.ready()
+    assert cell.stop("entry-1") == 0
+    assert lost([*kept, waiting.get()]) == []
