Let a scheduler daemon stop while the table is slow

Operators saw a scheduler daemon use a whole processor after SIGTERM and not exit until it was killed; its membership row stayed, so its shards waited for the take-over.

Cause: the task that follows the membership views skipped each view while the daemon leaves, but did not note its number. With one new view, next_view returned at once each time and the loop never yielded, so the main greenlet could not end the process. The view has to arrive while the shards are released, one write each: unlikely with a fast table, certain with a slow one.

Evidence: 13.8 s of processor in the 15 s after SIGTERM, last line shard_released.

Change: the task ends when the daemon leaves, and takes no shard after that.

--- a/src/primrosehub/services/shards.py
+++ b/src/primrosehub/services/shards.py
@@ -111,9 +111,9 @@
     def _run(self) -> None:
         self._check_layout()
         number = 0
-        while True:
+        while not self._leaving:
             view = self._membership.next_view(number, self._settings.timing.renew_s)
-            if view.number == number or self._leaving:
+            if view.number == number:
                 continue
             number = view.number
             for shard in shard_names(self._settings.region, self._settings.shards):
@@ -140,6 +140,8 @@
             )
 
     def _apply_next_step(self, shard: str, view: CellView) -> None:
+        if self._leaving:
+            return
         row = view.owners.get(shard)
         if (row[1] if row else ABSENT) < self._written_versions.get(shard, ABSENT):
             # The view was read before this daemon's last write of the row.
--- a/testing/cell/test_stops.py
+++ b/testing/cell/test_stops.py
@@ -1,4 +1,4 @@
-"""Planned stops of an entry daemon while callers send on open connections."""
+"""Planned stops of daemons while callers send and the table or processor is slow."""
 
 import signal
 import time
@@ -9,6 +9,7 @@
 from primrosehub_standins.journal import read_journal
 from testing.builders import SECRET, a_submission
 from testing.cell.callers import KeptConnection
+from testing.conftest import FAST_TIMING
 
 # The process runs for 50 ms, then not for 400 ms, as on a crowded processor.
 RUN_S, PAUSE_S = 0.05, 0.4
@@ -125,3 +126,14 @@
     assert not waiting.ready()
     assert cell.stop("entry-1") == 0
     assert lost([*kept, waiting.get()]) == []
+
+
+def test_a_scheduler_daemon_stops_while_the_table_is_slow(start_cell):
+    cell, _ = start_cell(shards=4)
+    cell.wait_for(
+        lambda: cell.metrics("scheduler-1").get("primrosehub_shards_held") == 4,
+        "all shards held",
+    )
+    gevent.sleep(2 * FAST_TIMING["renew_s"])  # until its view shows them as its own
+    cell.fault("table", slow_s=0.6)
+    assert cell.stop("scheduler-1") == 0
