Share the tracking and interruption of requests between the two callers' servers

Cause: the hub's and the /v1 front each kept the tasks that work on a request and raised an error in them at the limit of a stop, in code of their own; the /v1 server replaced its pool in a drain, by which the other one counted connections, and read an ended connection for 1 s more with a timer of its own.

Change: RequestTasks in border/http_server.py serves both; connections are counted as they are accepted and closed, whatever spawns their tasks; an ended connection is waited for as in the hub.

--- a/src/primrosehub/border/http_server.py
+++ b/src/primrosehub/border/http_server.py
@@ -9,8 +9,7 @@
 from typing import Any
 
 import gevent
-from gevent import monkey, socket
-from gevent.pool import Pool
+from gevent import Greenlet, monkey, socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 # A connection counts as idle after this time without a request.
@@ -114,14 +113,15 @@
     """Serve HTTP, and stop without losing a request that has arrived."""
 
     def __init__(self, *args: Any, **options: Any) -> None:
-        options.setdefault("spawn", Pool())
-        super().__init__(*args, handler_class=DrainableHandler, **options)
+        options.setdefault("handler_class", DrainableHandler)
+        super().__init__(*args, **options)
         self._connections: set[DrainableHandler] = set()
+        self._open_connections = 0
 
     @property
     def open_connections(self) -> int:
         """Return how many connections were accepted and are not closed."""
-        return len(self.pool)
+        return self._open_connections
 
     @property
     def active_connections(self) -> int:
@@ -129,6 +129,16 @@
         finished = sum(connection.is_finished for connection in self._connections)
         return self.open_connections - finished
 
+    def do_handle(self, *args: Any) -> None:
+        """Spawn the task of a connection, which counts as open from now on."""
+        self._open_connections += 1
+        super().do_handle(*args)
+
+    def do_close(self, *args: Any) -> None:
+        """Close a connection at the end of its task."""
+        self._open_connections -= 1
+        super().do_close(*args)
+
     @contextmanager
     def track(self, connection: DrainableHandler) -> Iterator[None]:
         """Let the connection be ended while the context lasts."""
@@ -166,6 +176,38 @@
             self.do_handle(*accepted)
 
 
+class RequestTasks:
+    """Track the tasks that work on a request, so that a stop can interrupt them."""
+
+    def __init__(self) -> None:
+        self._error_of_task: dict[Greenlet, Exception] = {}
+
+    def __len__(self) -> int:
+        return len(self._error_of_task)
+
+    @contextmanager
+    def track(self, error: Exception) -> Iterator[None]:
+        """Let the current task be interrupted with an error while the context lasts."""
+        task = gevent.getcurrent()
+        self._error_of_task[task] = error
+        try:
+            yield
+        finally:
+            del self._error_of_task[task]
+
+    def interrupt(self) -> None:
+        """Raise in each task its error, in the next iteration of the event loop."""
+        # Only there it is certain that a task waits, and not after its request's end.
+        loop = gevent.get_hub().loop
+        for task in tuple(self._error_of_task):
+            loop.run_callback(self._interrupt, task)
+
+    def _interrupt(self, task: Greenlet) -> None:
+        error = self._error_of_task.get(task)
+        if error is not None:
+            task.throw(error)
+
+
 def _read_arrived() -> None:
     """Let the event loop accept connections and read sockets until it is idle.
 
--- a/src/primrosehub/services/caller_front.py
+++ b/src/primrosehub/services/caller_front.py
@@ -7,10 +7,9 @@
 from typing import Any
 
 import gevent
-from gevent import Greenlet
 
 from primrosehub.border.address import parse_address
-from primrosehub.border.http_server import DrainableServer
+from primrosehub.border.http_server import DrainableServer, RequestTasks
 from primrosehub.core.errors import ErrorKind, HubError
 from primrosehub.core.logs import log
 from primrosehub.kernel import Kernel
@@ -32,13 +31,13 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
-        self._method_of_task: dict[Greenlet, str] = {}
+        self._requests = RequestTasks()
         self._last_response_at = float("-inf")
 
     @property
     def in_flight(self) -> int:
         """Return how many requests are being answered."""
-        return len(self._method_of_task)
+        return len(self._requests)
 
     def start(self, stack: ExitStack) -> None:
         """Listen until the stack closes."""
@@ -77,7 +76,7 @@
         connections = self._server.open_connections
         self._server.drain(max(0.0, limit_s - ANSWER_RESERVE_S))
         interrupted = self.in_flight
-        self._interrupt_requests()
+        self._requests.interrupt()
         self._server.drain(ANSWER_RESERVE_S)
         log(
             "callers_drained",
@@ -88,17 +87,6 @@
             took_ms=round((steady_s() - began_at) * 1000),
         )
 
-    def _interrupt_requests(self) -> None:
-        loop = gevent.get_hub().loop
-        for task in tuple(self._method_of_task):
-            loop.run_callback(self._interrupt, task)
-
-    def _interrupt(self, task: Greenlet) -> None:
-        """Raise an error in a task that waits; called by the event loop only."""
-        method = self._method_of_task.get(task)
-        if method is not None:
-            task.throw(_unfinished_error(method))
-
     def _close(self) -> None:
         """Accept no more connections; wait for the requests in progress."""
         self._server.close()
@@ -111,13 +99,9 @@
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         started_at = steady_s()
-        task = gevent.getcurrent()
-        self._method_of_task[task] = environ["REQUEST_METHOD"]
-        try:
+        with self._requests.track(_unfinished_error(environ["REQUEST_METHOD"])):
             response = self._build_response(environ, started_at)
-        finally:
-            del self._method_of_task[task]
-            self._last_response_at = steady_s()
+        self._last_response_at = steady_s()
         headers = response.headers
         if self._kernel.stopping.is_set():
             headers = [*headers, ("Connection", "close")]
--- a/src/primrosehub/services/callers_http.py
+++ b/src/primrosehub/services/callers_http.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import uuid
-from collections.abc import Callable, Iterator
-from contextlib import ExitStack, contextmanager
+from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -12,7 +12,6 @@
 
 import gevent
 import orjson
-from gevent import Greenlet, socket
 from gevent.pool import Pool
 
 from primrosehub.border.caller_models import (
@@ -21,7 +20,11 @@
     problem_document,
 )
 from primrosehub.border.codec import decode_from_caller
-from primrosehub.border.http_server import DrainableHandler, DrainableServer
+from primrosehub.border.http_server import (
+    DrainableHandler,
+    DrainableServer,
+    RequestTasks,
+)
 from primrosehub.core.errors import ErrorKind, HubError, RequestAbandoned
 from primrosehub.core.logs import log
 from primrosehub.kernel import Kernel
@@ -59,8 +62,6 @@
 MAX_IDEMPOTENCY_KEY_CHARS = 255
 MAX_JOBS_PER_PAGE = 200
 MAX_DEADLINE_MS = 3_600_000  # one hour
-# For requests that cross the end of their connection; callers may keep theirs open.
-ENDED_READ_S = 1.0
 ABANDON_TIMEOUT_S = 0.5  # to answer the requests that are abandoned
 _PROBLEM = "application/problem+json"
 _JSON = "application/json"
@@ -87,19 +88,6 @@
             return super().read_request(raw_requestline)
         return False
 
-    def end(self) -> None:
-        """Tell the caller that no more responses follow; soon stop reading."""
-        if not self._ended:
-            gevent.spawn_later(ENDED_READ_S, _stop_reading, self.socket)
-        super().end()
-
-
-def _stop_reading(sock: socket.socket) -> None:
-    try:
-        sock.shutdown(socket.SHUT_RD)
-    except OSError:
-        pass  # the connection is closed
-
 
 class CallersServer:
     """Serve callers, with one task for each connection."""
@@ -107,8 +95,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._settings = kernel.settings
-        self._in_progress: set[Greenlet] = set()
-        self._abandoning = False
+        self._requests = RequestTasks()
 
     def start(self, stack: ExitStack) -> None:
         """Start listening; stop when the stack closes."""
@@ -121,11 +108,11 @@
         self._server = DrainableServer(
             (str(address.ip), address.port),
             self._serve,
+            handler_class=_CallersHandler,
             spawn=Pool(self._settings.max_connections),
             log=None,
             error_log=_ErrorLog(),
         )
-        self._server.handler_class = _CallersHandler
         self._server.header_timeout_s = self._settings.header_timeout_s
         self._server.start()
         stack.callback(self._server.stop, 1.0)
@@ -141,45 +128,22 @@
         self._server.set_spawn(Pool())
         self._server.start_accepting()
         self._server.drain(limit_s)
-        abandoned = len(self._in_progress)
-        self._abandon_requests()
+        abandoned = len(self._requests)
+        self._requests.interrupt()
+        self._server.drain(ABANDON_TIMEOUT_S)
         log(
             "callers_drained",
             connections=connections,
-            left=self._server.open_connections,
+            left=self._server.active_connections,
             abandoned=abandoned,
             took_ms=round((steady_s() - began_at) * 1000),
         )
 
-    def _abandon_requests(self) -> None:
-        self._abandoning = True
-        for task in self._in_progress:
-            # Only the hub may throw into a greenlet and go on.
-            gevent.get_hub().loop.run_callback(self._abandon, task)
-        self._server.drain(ABANDON_TIMEOUT_S)
-
-    def _abandon(self, task: Greenlet) -> None:
-        if task in self._in_progress:
-            task.throw(RequestAbandoned)
-
-    @contextmanager
-    def _track_request(self) -> Iterator[None]:
-        if self._abandoning:
-            raise HubError(
-                ErrorKind.UNAVAILABLE, "this entry daemon is stopping; try again"
-            )
-        task = gevent.getcurrent()
-        self._in_progress.add(task)
-        try:
-            yield
-        finally:
-            self._in_progress.discard(task)
-
     def _serve(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> list[bytes]:
         try:
-            with self._track_request():
+            with self._requests.track(RequestAbandoned()):
                 reply = self._route(environ)
         except HubError as error:
             self._metrics.count("caller_errors", kind=error.kind)
