Show that a drain at its limit ends a connection with an unread request

What callers saw: a request that was completed while the daemon did not run got no answer; its connection ended when the daemon ran again.

Evidence: DrainableServer.drain sleeps after its last look at the sockets. When the limit passes during a pause, the sleep's timer is handled before the sockets that are ready, and the final loop ends each connection that answers nothing, also one whose request lies in its socket.

--- a/testing/border/test_http_server.py
+++ b/testing/border/test_http_server.py
@@ -8,6 +8,7 @@
 from primrosehub.border import http_server
 from primrosehub.border.http_server import (
     IDLE_AFTER_S,
+    IDLE_CHECK_INTERVAL_S,
     READ_ARRIVED_TIMEOUT_S,
     DrainableServer,
 )
@@ -164,3 +165,18 @@
         # The end of the connection, alone or after a refusal of the request.
         while sock.recv(4096):
             pass
+
+
+def test_a_request_that_arrives_during_a_pause_at_the_limit_is_answered(
+    server, handler
+):
+    with connect(server) as sock:
+        assert exchange(sock).endswith(b"yes")
+        drain = gevent.spawn(server.drain, IDLE_CHECK_INTERVAL_S)
+        gevent.sleep(IDLE_CHECK_INTERVAL_S / 2)
+        sock.sendall(REQUEST)
+        # In this greenlet, so that the event loop has not run since.
+        block_event_loop()
+        drain.join()
+        assert handler.served == 2
+        assert sock.recv(4096).endswith(b"yes")
--- a/testing/hub/test_stop.py
+++ b/testing/hub/test_stop.py
@@ -149,6 +149,13 @@
         process.send_signal(signal.SIGCONT)
 
 
+def _pause(process, moment, pause_s):
+    gevent.sleep(moment - time.monotonic())
+    process.send_signal(signal.SIGSTOP)
+    gevent.sleep(pause_s)
+    process.send_signal(signal.SIGCONT)
+
+
 def _send_repeatedly(address, end):
     while time.monotonic() < end and _is_serving(address):
         gevent.sleep(0.1)
@@ -226,6 +233,20 @@
     assert [caller.value for caller in callers if caller.value] == []
 
 
+def test_a_request_completed_during_a_pause_at_the_limit_is_not_lost(hub_process):
+    begun = [KeptConnection(hub_process.address) for _ in range(40)]
+    for connection in begun:
+        connection.begin(REQUEST[:-2])
+    stopped_at = hub_process.terminate()
+    gevent.spawn(_pause, hub_process.process, stopped_at + 4.75, 0.5)
+    callers = [
+        gevent.spawn(connection.send_at, stopped_at + 4.5 + 0.02 * number, REQUEST[-2:])
+        for number, connection in enumerate(begun)
+    ]
+    gevent.joinall(callers, raise_error=True)
+    assert [caller.value for caller in callers if caller.value] == []
+
+
 @pytest.mark.parametrize(
     ("state", "delay_s", "data"),
     [
