Show that a request read after the limit of a drain is not interrupted

What callers saw: nothing yet.

Evidence: CallerFront.drain interrupts the requests that are in progress between two drains of the server. When the first has no time and the event loop is busy, a connection of the backlog is read by the second only, and nothing interrupts its request.

--- a/testing/hub/test_caller_front.py
+++ b/testing/hub/test_caller_front.py
@@ -1,12 +1,15 @@
 """The caller front alone, with requests that stay in progress."""
 
+import socket
 from contextlib import ExitStack
 from types import SimpleNamespace
 
 import gevent
 import pytest
+from gevent.monkey import get_original
 
-from primrosehub.border.http_client import HttpEndpoint
+from primrosehub.border.http_client import HttpEndpoint, encode_request
+from primrosehub.border.http_server import READ_ARRIVED_TIMEOUT_S
 from primrosehub.core.clusterconfig import ClusterConfig
 from primrosehub.services.caller_front import CallerFront
 from primrosehub.services.names import METRICS
@@ -83,3 +86,16 @@
     intake.released.set()
     drain.join()
     assert request.get().status == 200
+
+
+def test_a_request_read_after_the_limit_of_a_drain_gets_an_error(front):
+    ip, _, port = front._kernel.settings.callers.rpartition(":")
+    request = encode_request("POST", "/quotes/0000000000000001", ip, (), JOB)
+    # gevent's own connect would run the event loop, which would accept.
+    with get_original("socket", "socket")() as caller:
+        caller.connect((ip, int(port)))
+        caller.sendall(request)
+        gevent.spawn(get_original("time", "sleep"), READ_ARRIVED_TIMEOUT_S + 0.2)
+        front.drain(0.0)
+        assert front.in_flight == 0
+        assert caller.recv(4096, socket.MSG_DONTWAIT).startswith(b"HTTP/1.1 504 ")
