Show that an unfinished request makes a slow daemon exit after the grace period

What callers saw: nothing yet, but the platform kills the process at 6 s.

Evidence: an unfinished head is ended only at the limit of the drain, 4.9 s after SIGTERM; after an unfinished body the task has sent its 504 and then waits in Input._discard for the rest, until 5.2 s. The end of the interpreter takes longer than what is left, as with the idle caller before.

--- a/testing/hub/test_stop.py
+++ b/testing/hub/test_stop.py
@@ -283,3 +283,16 @@
     gevent.spawn(_stutter, hub_process.process, 0.05, 0.35)
     assert hub_process.exits_by(hub_process.terminate() + GRACE_S)
     idle.close()
+
+
+@pytest.mark.parametrize(
+    "part", [REQUEST[:-2], a_submission()[:-1]], ids=["head", "body"]
+)
+def test_an_unfinished_request_does_not_delay_a_slow_exit_beyond_the_grace_period(
+    hub_process, part
+):
+    caller = KeptConnection(hub_process.address)
+    caller.begin(part)
+    gevent.spawn(_stutter, hub_process.process, 0.05, 0.35)
+    assert hub_process.exits_by(hub_process.terminate() + GRACE_S)
+    caller.close()
