Show that a drain without free descriptors raises and ends the daemon

What callers saw: nothing yet; the requests in progress would be cut with the process.

Evidence: DrainableServer._accept_backlog lets the OSError of accept pass. gevent's own accept loop logs it and tries again later; here it leaves drain and `leave`, and the process ends undrained, without its last log lines, as `hub` flushes them only after a normal return.

--- a/testing/border/test_http_server.py
+++ b/testing/border/test_http_server.py
@@ -1,5 +1,7 @@
+import os
+import resource
 import socket
-from contextlib import ExitStack
+from contextlib import ExitStack, contextmanager
 
 import gevent
 import pytest
@@ -64,6 +66,18 @@
     get_original("time", "sleep")(READ_ARRIVED_TIMEOUT_S + LOSS_SLACK_S)
 
 
+@contextmanager
+def no_free_descriptors():
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    lowest_free = os.dup(0)
+    os.close(lowest_free)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
 def test_a_drain_ends_idle_connections_and_the_listener(server):
     with connect(server) as sock:
         assert exchange(sock).endswith(b"yes")
@@ -180,3 +194,17 @@
         drain.join()
         assert handler.served == 2
         assert sock.recv(4096).endswith(b"yes")
+
+
+def test_a_drain_without_free_descriptors_answers_what_was_accepted(server, handler):
+    # gevent's own connect would run the event loop, which would accept.
+    waiting = get_original("socket", "socket")()
+    with connect(server) as sock, waiting:
+        assert exchange(sock).endswith(b"yes")
+        handler.delay_s = 0.5
+        sock.sendall(REQUEST)
+        gevent.sleep(0.1)
+        waiting.connect(("127.0.0.1", server.server_port))
+        with no_free_descriptors():
+            server.drain(LIMIT_S)
+        assert sock.recv(4096).endswith(b"yes")
