Show that a stop ignores a grace period shorter than the balancer takes

What callers saw: nothing yet; with grace_s=2 the process is killed before it has drained.

Evidence: `leave` sleeps for BALANCER_REMOVAL_S, whatever the deadline.

--- a/testing/hub/test_stop.py
+++ b/testing/hub/test_stop.py
@@ -102,12 +102,14 @@
     """Start a daemon process beside the daemons of a cell."""
     with ExitStack() as stack:
 
-        def start(hubs=1):
+        def start(hubs=1, grace_s=GRACE_S):
             cell = stack.enter_context(HubCell(hubs=hubs))
             if hubs:
                 cell.leader()
             store = StoreEndpoint()
             settings = cell.new_settings(7, store)
+            bounds = settings.bounds.model_copy(update={"grace_s": grace_s})
+            settings = settings.model_copy(update={"bounds": bounds})
             path = tmp_path / "settings.json"
             path.write_text(settings.model_dump_json())
             process = subprocess.Popen(
@@ -296,3 +298,8 @@
     gevent.spawn(_stutter, hub_process.process, 0.05, 0.35)
     assert hub_process.exits_by(hub_process.terminate() + GRACE_S)
     caller.close()
+
+
+def test_a_stop_ends_within_a_grace_period_of_two_seconds(start_process):
+    daemon = start_process(grace_s=2.0)
+    assert daemon.exits_by(daemon.terminate() + 2.0)
