--- a/testing/hub/test_stop.py
+++ b/testing/hub/test_stop.py
@@ -102,12 +102,14 @@
     """Start a daemon process beside the daemons of a cell."""
     with ExitStack() as stack:
 
-        def start(hubs=1):
+        def start(hubs=1, grace_s=GRACE_S):
             cell = stack.enter_context(HubCell(hubs=hubs))
             if hubs:
                 cell.leader()
             store = StoreEndpoint()
             settings = cell.new_settings(7, store)
+            bounds = settings.bounds.model_copy(update={"grace_s": grace_s})
+            settings = settings.model_copy(update={"bounds": bounds})
             path = tmp_path / "settings.json"
             path.write_text(settings.model_dump_json())
             process = subprocess.Popen(
@@ -149,6 +151,13 @@
         process.send_signal(signal.SIGCONT)
 
 
+def _pause(process, moment, pause_s):
+    gevent.sleep(moment - time.monotonic())
+    process.send_signal(signal.SIGSTOP)
+    gevent.sleep(pause_s)
+    process.send_signal(signal.SIGCONT)
+
+
 def _send_repeatedly(address, end):
     while time.monotonic() < end and _is_serving(address):
         gevent.sleep(0.1)
@@ -226,6 +235,20 @@
     assert [caller.value for caller in callers if caller.value] == []
 
 
+def test_a_request_completed_during_a_pause_at_the_limit_is_not_lost(hub_process):
+    begun = [KeptConnection(hub_process.address) for _ in range(40)]
+    for connection in begun:
+        connection.begin(REQUEST[:-2])
+    stopped_at = hub_process.terminate()
+    gevent.spawn(_pause, hub_process.process, stopped_at + 4.75, 0.5)
+    callers = [
+        gevent.spawn(connection.send_at, stopped_at + 4.5 + 0.02 * number, REQUEST[-2:])
+        for number, connection in enumerate(begun)
+    ]
+    gevent.joinall(callers, raise_error=True)
+    assert [caller.value for caller in callers if caller.value] == []
+
+
 @pytest.mark.parametrize(
     ("state", "delay_s", "data"),
     [
@@ -262,3 +285,21 @@
     gevent.spawn(_stutter, hub_process.process, 0.05, 0.35)
     assert hub_process.exits_by(hub_process.terminate() + GRACE_S)
     idle.close()
+
+
+@pytest.mark.parametrize(
+    "part", [REQUEST[:-2], a_submission()[:-1]], ids=["head", "body"]
+)
+def test_an_unfinished_request_does_not_delay_a_slow_exit_beyond_the_grace_period(
+    hub_process, part
+):
+    caller = KeptConnection(hub_process.address)
+    caller.begin(part)
+    gevent.spawn(_stutter, hub_process.process, 0.05, 0.35)
+    assert hub_process.exits_by(hub_process.terminate() + GRACE_S)
+    caller.close()
+
+
+def test_a_stop_ends_within_a_grace_period_of_two_seconds(start_process):
+    daemon = start_process(grace_s=2.0)
+    assert daemon.exits_by(daemon.terminate() + 2.0)
