Read what has arrived once more before a drain ends connections at its limit

What callers saw: a request completed just before the limit of a drain got no answer when the process was paused at that moment. Cause: after the last look the drain slept for 20 ms; if the process was paused in that sleep, its timer ran before the sockets that had become ready, and the connections were ended with the requests unread. Found by a reviewer.

Change: the event loop reads what has arrived between the sleep and the end of the connections. A request that is first read then is in progress when the requests in progress are interrupted.

--- a/src/primrosehub/border/http_server.py
+++ b/src/primrosehub/border/http_server.py
@@ -92,7 +92,7 @@
             self._answering = False
 
     def end(self) -> None:
-        """Tell the caller that no more responses follow; go on reading."""
+        """Tell the caller that no more responses follow, unless one is under way."""
         if self._ended_at is None and not self._answering:
             self._ended_at = time.monotonic()
             try:
@@ -164,6 +164,7 @@
                 if connection.is_idle:
                     connection.end()
             gevent.sleep(IDLE_CHECK_INTERVAL_S)
+        _read_arrived()
         for connection in tuple(self._connections):
             connection.end()
 
