Go on with a drain when its backlog can't be accepted

What callers saw: connections that were accepted ended without answers. Cause: with no free descriptors the accept of the backlog raised OSError through the drain and the planned stop. Found by a reviewer.

Change: the error is logged and the drain goes on.

--- a/src/primrosehub/border/http_server.py
+++ b/src/primrosehub/border/http_server.py
@@ -12,6 +12,8 @@
 from gevent import Greenlet, monkey, socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from primrosehub.core.logs import log
+
 # A connection counts as idle after this time without a request.
 IDLE_AFTER_S = 0.2
 # By then a caller has seen that its connection ended.
@@ -170,11 +172,14 @@
 
     def _accept_backlog(self) -> None:
         """Accept what the event loop has not; closing the listener resets the rest."""
-        while not self.closed and not self.full():
-            accepted = self.do_read()
-            if accepted is None:
-                return
-            self.do_handle(*accepted)
+        try:
+            while not self.closed and not self.full():
+                accepted = self.do_read()
+                if accepted is None:
+                    return
+                self.do_handle(*accepted)
+        except OSError as error:
+            log("backlog_not_accepted", reason=str(error))
 
 
 class RequestTasks:
