Send the requests of two tests of a stop while connections are still answered

Cause: on the mended source one test sent none of its requests and the other one of 40, as the connections had ended by then; they showed nothing of it.

Change: they are sent from before the end of the connections until after the exit, and some must have been answered.

--- a/testing/hub/test_stop.py
+++ b/testing/hub/test_stop.py
@@ -31,6 +31,7 @@
     def __init__(self, address):
         self._sock = _connect(address)
         self._begun = False
+        self.answered = False
         assert self._exchange(REQUEST) is not None
 
     def close(self):
@@ -58,6 +59,7 @@
         except OSError:
             answer = None
         waited_s = time.monotonic() - sent_at
+        self.answered = answer is not None
         if answer is None and waited_s > LOSS_SLACK_S:
             return f"no answer after {waited_s:.3f} s"
         return None
@@ -214,10 +216,11 @@
     stopped_at = hub_process.terminate()
     gevent.spawn(_send_repeatedly, hub_process.address, stopped_at + GRACE_S)
     callers = [
-        gevent.spawn(connection.send_at, stopped_at + 4.7 + 0.01 * number)
+        gevent.spawn(connection.send_at, stopped_at + 3.9 + 0.025 * number)
         for number, connection in enumerate(kept)
     ]
     gevent.joinall(callers, raise_error=True)
+    assert any(connection.answered for connection in kept)
     assert [caller.value for caller in callers if caller.value] == []
 
 
@@ -228,10 +231,11 @@
     gevent.spawn(_stutter, hub_process.process)
     stopped_at = hub_process.terminate()
     callers = [
-        gevent.spawn(connection.send_at, stopped_at + 5.0 + 0.02 * number, REQUEST[-2:])
+        gevent.spawn(connection.send_at, stopped_at + 4.4 + 0.02 * number, REQUEST[-2:])
         for number, connection in enumerate(begun)
     ]
     gevent.joinall(callers, raise_error=True)
+    assert any(connection.answered for connection in begun)
     assert [caller.value for caller in callers if caller.value] == []
 
 
