Refuse a job as not stored only if its owner says so

Cause: no answer from an owner, or the answer of a daemon that no longer owns the jobs, counted as "the owner does not know it".

Change: only an owner's answer that it does not know the job rules out that it is stored; otherwise the caller is told 504, outcome unknown, send it again.

Measured: test_a_stored_job_is_not_refused_as_never_run_while_nobody_owns_it[stop] failed before (503 only) and passes; [kill] passed before as well.

--- a/src/primrosehub/services/intake.py
+++ b/src/primrosehub/services/intake.py
@@ -199,7 +199,7 @@
             case NotInserted(unknown, reason):
                 if unknown:
                     self._remember_unknown(job)
-                may_be_stored = job in self._unknown_since or self._owner_knows(
+                may_be_stored = job in self._unknown_since or self._may_be_stored(
                     job, team
                 )
                 raise self._build_not_stored_error(key, may_be_stored, reason)
@@ -211,10 +211,9 @@
             if now - since > KEEP_UNKNOWN_S:
                 del self._unknown_since[other]
 
-    def _owner_knows(self, job: str, team: str) -> bool:
-        """Return whether the owner knows a job, which means that it is stored."""
-        known = self._ask_owner(AskState(job, team))
-        return isinstance(known, StateIs) and known.state is not None
+    def _may_be_stored(self, job: str, team: str) -> bool:
+        """Return whether a job may be stored; only the owner can rule it out."""
+        return self._ask_owner(AskState(job, team)) != StateIs(None)
 
     def _build_not_stored_error(
         self, key: RowKey, may_be_stored: bool, reason: str
--- a/testing/hub/test_store.py
+++ b/testing/hub/test_store.py
@@ -54,6 +54,27 @@
         assert cell.call(hub, "POST", PREFIX + job, body).status == 504
 
 
+@pytest.mark.parametrize("end", ["stop", "kill"])
+def test_a_stored_job_is_not_refused_as_never_run_while_nobody_owns_it(start_hubs, end):
+    cell = start_hubs(hubs=3)
+    body = b'{"spec":"run 9","phases":[{"count":1}]}'
+    job = cell.new_id()
+    leader = cell.leader()
+    other = follower(cell)
+    assert cell.call(other, "POST", PREFIX + job, body).status == 200
+    cell.until(lambda: cell.starts(job), "the job did not start")
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.BUSY
+    ending = gevent.spawn(getattr(leader, end))
+    statuses = set()
+    for _ in range(30):
+        statuses.add(cell.call(other, "POST", PREFIX + job, body).status)
+        gevent.sleep(0.1)
+    ending.join()
+    statuses.add(cell.call(other, "POST", PREFIX + job, body).status)
+    assert statuses == {504}
+
+
 def test_running_tasks_continue_while_the_store_is_down(start_hubs):
     cell = start_hubs()
     leader = cell.leader()
