Count the requests that cross the end of their connection in a stop

Cause: a request that was discarded on an ended connection left no trace in the lines of a stop. Found by a reviewer.

Change: callers_drained has discarded=.

--- a/src/primrosehub/border/http_server.py
+++ b/src/primrosehub/border/http_server.py
@@ -84,6 +84,7 @@
         """Answer a request whose head was read, unless the connection has ended."""
         if self._ended_at is not None:
             # The response can no longer be sent, so the request must not run.
+            self.server.discarded_requests += 1
             self.close_connection = True
             self._read_to_end()
             return
@@ -119,6 +120,7 @@
         super().__init__(*args, **options)
         self._connections: set[DrainableHandler] = set()
         self._open_connections = 0
+        self.discarded_requests = 0  # which crossed the end of their connection
 
     @property
     def open_connections(self) -> int:
--- a/src/primrosehub/services/caller_front.py
+++ b/src/primrosehub/services/caller_front.py
@@ -84,6 +84,7 @@
             left=self._server.active_connections,
             in_flight=self.in_flight,
             interrupted=interrupted,
+            discarded=self._server.discarded_requests,
             took_ms=round((steady_s() - began_at) * 1000),
         )
 
--- a/src/primrosehub/services/callers_http.py
+++ b/src/primrosehub/services/callers_http.py
@@ -136,6 +136,7 @@
             connections=connections,
             left=self._server.active_connections,
             abandoned=abandoned,
+            discarded=self._server.discarded_requests,
             took_ms=round((steady_s() - began_at) * 1000),
         )
 
