Keep the ownership while planned stops follow each other

Cause: with 0.3 s for each answer of the store, a take-over takes longer than the 0.4 s between two stops: each heir was leaving when it became the owner, released at once and passed on a term that it had not loaded.

Ruled out: to load the term first and release then, as the next heir would be leaving as well.

Change: a leaving owner with an heir goes on while a peer began to leave in the last second, within its own time (policy/succession.decide_release). A stop without another one beside it releases at once as before.

Test: test_a_leaving_owner_goes_on_while_stops_follow_each_other failed without the condition.

--- a/src/primrosehub/policy/succession.py
+++ b/src/primrosehub/policy/succession.py
@@ -22,6 +22,8 @@
 RELEASE_RESERVE_S = 1.5
 # The term that a leaving daemon must have left before that to take over.
 MIN_TERM_S = 1.0
+# A peer that began to leave this recently makes it likely that others follow.
+OVERLAP_S = 1.0
 # Daemons that were stopped within this time count as stopped together.
 SAME_STOP_S = 0.2
 
@@ -122,13 +124,15 @@
     """Tell whether a leaving owner releases the ownership now.
 
     A pong from before this daemon began to leave does not count: its sender may have
-    been told to stop at the same moment.
+    been told to stop at the same moment. While stops follow each other, the heir may
+    be next, and each new owner has to load the jobs first.
     """
-    for news in heard:
-        ready = news.pong.config_version > 0 and news.age_s <= leaving.for_s
-        if ready and _is_able(news) and not news.pong.leaving:
-            return HeirReady(news.pong.sender.name)
-    return KeepOwnership() if leaving.left_s > RELEASE_RESERVE_S else OutOfTime()
+    heir = next((news for news in heard if _is_heir(news, leaving.for_s)), None)
+    follow = any(news.pong.leaving and news.leaving_s < OVERLAP_S for news in heard)
+    in_time = leaving.left_s > RELEASE_RESERVE_S
+    if heir is not None and not (follow and in_time):
+        return HeirReady(heir.pong.sender.name)
+    return KeepOwnership() if in_time else OutOfTime()
 
 
 def may_take_over(leaving: Leaving) -> bool:
@@ -178,6 +182,11 @@
             return slow + before + (0 if able else len(leaving))
 
 
+def _is_heir(news: ReceivedPong, max_age_s: float) -> bool:
+    ready = news.pong.config_version > 0 and news.age_s <= max_age_s
+    return ready and _is_able(news) and not news.pong.leaving
+
+
 def _is_able(news: ReceivedPong) -> bool:
     return news.pong.store_reached and not news.pong.slow
 
--- a/testing/policy/test_succession.py
+++ b/testing/policy/test_succession.py
@@ -3,6 +3,7 @@
 
 from primrosehub.policy.succession import (
     MIN_TERM_S,
+    OVERLAP_S,
     RANK_DELAY_S,
     REFUSED_S,
     RELEASE_RESERVE_S,
@@ -157,6 +158,19 @@
     )
 
 
+def test_a_leaving_owner_goes_on_while_stops_follow_each_other():
+    heir = a_heard_pong("hub-3", 0.1)
+
+    def decide(stopped_s, **time):
+        stopped = a_heard_pong("hub-4", 0.1, leaving=True, leaving_s=stopped_s)
+        return decide_release(leaving(**time), [heir, stopped])
+
+    assert decide(OVERLAP_S - 0.1) == KeepOwnership()
+    assert decide(OVERLAP_S + 0.1) == HeirReady("hub-3")
+    nearly_over_s = RELEASE_RESERVE_S - 0.1
+    assert decide(OVERLAP_S - 0.1, left_s=nearly_over_s) == HeirReady("hub-3")
+
+
 def test_a_leaving_daemon_takes_over_where_all_leave():
     news = a_heard_pong("hub-3", 0.1, leaving=True, leaving_s=3.0)
     assert candidate_rank(ME, True, OWNER, [news], leaving()) == 0
