--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,110 +1,79 @@
-"""The progress of a job that repeats grows beyond what a row of the store holds."""
+"""A gang that never fits keeps idle executors from the jobs that waited."""
 
 import sys
 import time
-from base64 import b64decode
 from pathlib import Path
-from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from harness import TROUBLE, Case, CouldNotRun, gevent, run_case
+from harness import SERVICE, TROUBLE, Case, gevent, run_case
 
-from primrosehub_standins.row_store import RowStoreStandin, StoreEndpoint
-from primrosehub_standins.web import StartResponse, reply_json
-
-MAX_ROW_BYTES = 65_536
-REPETITIONS = 20_000 if TROUBLE else 1_000
-INTERVAL_MS = 8
-ACK_TIMEOUT_S = 4.0
+HOSTS = 6
+CORES = 40  # of a member of the gang, so that one fits on an executor of 64 cores
+MEMBERS = HOSTS + 1 if TROUBLE else HOSTS
+JOBS = 7  # in one second, of a tenant of weight 50
 FINISH_S = 14.0
-
-
-class LimitedStore(RowStoreStandin):
-    """Refuse rows that are larger than the settings say, as the pages do."""
-
-    refused: int = 0
-
-    def _transact(
-        self, endpoint: StoreEndpoint, body: Any, start: StartResponse
-    ) -> list[bytes]:
-        sizes = [len(b64decode(row["value"])) for row in body["write"]]
-        if max(sizes, default=0) > MAX_ROW_BYTES:
-            LimitedStore.refused += 1
-            return reply_json(start, {"reason": "row too large"}, "400 Bad Request")
-        return super()._transact(endpoint, body, start)
+TURN_S = 3.0
+KEYS = {"green": "key-of-green", "blue": "key-of-blue"}
 
 
 def play(case: Case) -> list[str]:
-    """Run a job that repeats; then see whether another job's end is noted."""
+    """Submit the gang, then the small jobs, and wait."""
     cell = case.cell
-    step = {"count": 2, "cpu": 500, "mem-mb": 64, "estimated-runtime-ms": 50}
-    job = case.submit(
-        case.follower(),
-        step,
-        spec="run 0.05",
-        **{
-            "repetitions": REPETITIONS,
-            "interval-ms": INTERVAL_MS,
-            "start-time-ms": int(time.time() * 1000),
-        },
+    cell.configure(
+        tenants=[
+            {"name": name, "api-keys": [KEYS[name]], "weight": 50} for name in KEYS
+        ],
+        services=[{"name": SERVICE}],
     )
-    ended = 2 * REPETITIONS
-
-    def is_stuck_or_over() -> bool:
-        return LimitedStore.refused > 0 or len(cell.starts(job)) >= ended
-
-    case.until(is_stuck_or_over, "the job did not get on", 80.0)
-    done = sum(event.kind == "done" for event in cell.journal)
-    case.note(
-        f"{done} of {ended} tasks are done; rows refused as too large: "
-        f"{LimitedStore.refused}"
-    )
-    other = case.submit(
-        case.follower(),
-        {"count": 1, "cpu": 1000, "mem-mb": 64, "estimated-runtime-ms": 300},
-        spec="run 0.3",
-    )
-    return breaks_of(case, other)
-
-
-def breaks_of(case: Case, job: str) -> list[str]:
-    """Return what is wrong with a job of one task, which is done after 0.3 s."""
-    cell = case.cell
-
-    def done() -> Any:
-        ends = (event for event in cell.journal if event.kind == "done")
-        return next((event for event in ends if event.task.startswith(job)), None)
-
-    end = case.until(done, f"the task of {job} did not run")
-    case.note(f"{end.task} ended done on {end.host}")
-    host = next(one for one in cell.hosts if one.host == end.host)
-    began = time.monotonic()
-    acked_s = shown_s = None
-    while time.monotonic() - began < FINISH_S:
-        now_s = time.monotonic() - began
-        if acked_s is None and all(row[1] != end.task for row in host._ends):
-            acked_s = now_s
-        if shown_s is None and case.state(case.follower(), job) == "completed":
-            shown_s = now_s
-        if acked_s is not None and shown_s is not None:
-            break
-        gevent.sleep(0.25)
-    listed = sum(len(one._ends) for one in cell.hosts)
+    gevent.sleep(2.5)
+    member = {
+        "count": MEMBERS,
+        "cpu": CORES * 1000,
+        "mem-mb": 1024,
+        "estimated-runtime-ms": 2000,
+        "gang-scheduled": True,
+    }
+    gang = case.submit(case.follower(), member, spec="run 2", key=KEYS["green"])
+    case.note(f"{gang}: a gang of {MEMBERS} tasks of {CORES} cores, {HOSTS} executors")
+    gevent.sleep(4.0)
+    large = {
+        "count": HOSTS,
+        "cpu": 60_000,
+        "mem-mb": 1024,
+        "estimated-runtime-ms": 5000,
+    }
+    filling = case.submit(case.follower(), large, spec="run 5", key=KEYS["green"])
+    case.until(lambda: len(cell.starts(filling)) == HOSTS, "the large job didn't start")
+    case.note(f"{filling}: a job of {HOSTS} tasks of 60 cores runs for 5 s")
+    gevent.sleep(1.0)
+    small = {"count": 1, "cpu": 8000, "mem-mb": 64, "estimated-runtime-ms": 300}
+    jobs = []
+    for _ in range(JOBS):
+        jobs.append(
+            case.submit(case.follower(), small, spec="run 0.3", key=KEYS["blue"])
+        )
+        gevent.sleep(1.0 / JOBS)
+    ended_at = time.monotonic()
+    gevent.sleep(FINISH_S)
+    running = [run for host in cell.hosts for run in host.running()]
+    states = [case.state(case.follower(), job, key=KEYS["blue"]) for job in jobs]
+    case.note(f"running on all executors: {running}")
     case.note(
-        f"the end was noted after {acked_s} s and shown after {shown_s} s; "
-        f"{listed} ends are listed and not noted; refused rows: {LimitedStore.refused}"
+        f"states {time.monotonic() - ended_at:.1f} s after the last job: {states}"
     )
-    breaks = []
-    if acked_s is None or acked_s > ACK_TIMEOUT_S:
-        breaks.append(f"the end of {end.task} was not noted within {ACK_TIMEOUT_S} s")
-    if shown_s is None:
-        shown = case.state(case.follower(), job)
-        breaks.append(f"{job} is shown as {shown} {FINISH_S} s after its end")
-    if LimitedStore.refused == 0 and breaks:
-        raise CouldNotRun("the daemons were too slow, and no row was refused")
-    return breaks
+    case.record_starts(gang)
+    case.record_starts(filling)
+    for job in jobs:
+        case.record_starts(job)
+    gevent.sleep(TURN_S)
+    return [
+        f"{job} has had no start for {time.monotonic() - ended_at:.1f} s, with "
+        f"{len(running)} tasks running on {HOSTS} executors"
+        for job in jobs
+        if not cell.starts(job)
+    ]
 
 
 if __name__ == "__main__":
-    run_case(__file__, hosts=3, daemons=3, play=play, store=LimitedStore())
+    run_case(__file__, hosts=HOSTS, daemons=3, play=play)
