--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,89 +1,98 @@
-"""An executor loses power and is back before the owner has missed it."""
+"""The memory of each owner in turn exceeds its limit for one job that repeats."""
 
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from harness import TROUBLE, Case, DarkProxy, gevent, run_case
+from harness import TROUBLE, Case, CouldNotRun, gevent, run_case
 
-DARK_S = 0.5
-STOP_S = 0.3  # of at most 0.4 s that an executor may take for a stop
-ROUNDS = 5
+MEMORY_MB = 300  # limits.memory-mb
+RESTART_S = 0.5
+REPETITIONS = 86_400 if TROUBLE else 60  # of a job each minute: 60 days, or an hour
+TASKS = 8
+TRAFFIC_S = 36.0
+FINISH_S = 14.0
+ENDS_ALLOWED = 3
+MACHINES_ALLOWED = 2
+TURN_S = 3.0
 
 
-def play(case: Case) -> list[str]:
-    """Let an executor restart; submit a job of one large task just after that."""
-    cell = case.cell
-    proxies = {}
-    for host in cell.hosts:
-        host.stop_s = STOP_S
-        port = int(cell._addresses[host.host].rpartition(":")[2])
-        proxies[host.host] = DarkProxy(port)
-        case.list_host(host, address=proxies[host.host].address)
-    gevent.sleep(4.0)
-    step = {"count": 1, "cpu": 40_000, "mem-mb": 1024, "estimated-runtime-ms": 4000}
-    small_step = step | {"cpu": 1000, "estimated-runtime-ms": 500}
-    jobs: list[str] = []
-    for _ in range(ROUNDS):
-        # The executor that gets the next task, as long as nothing else runs.
-        probe = case.submit(case.follower(), step, spec="run 0.2")
-        case.until(lambda j=probe: cell.starts(j), "the probe did not start")
-        name = cell.starts(probe)[0].host
-        host = next(one for one in cell.hosts if one.host == name)
-        gevent.sleep(1.5)
-        if TROUBLE:
-            case.note(f"executor {name} is dark for {DARK_S} s, and starts again")
-            proxies[name].lose_power()
-            host.crash()
-            gevent.sleep(DARK_S)
-            proxies[name].come_back()
-        long = case.submit(case.follower(), step, spec="run 4")
-        short = case.submit(case.follower(), small_step, spec="run 0.5")
-        gevent.sleep(9.0)
-        for job in (long, short):
-            jobs.append(job)
-            case.note(f"{job} is {case.state(case.follower(), job)}")
-            case.record_starts(job)
-    for proxy in proxies.values():
-        proxy.close()
-    return [line for job in jobs for line in runs_twice(case, job)]
+class Platform:
+    """End each process that exceeds its memory, and start it again."""
 
+    def __init__(self, case: Case) -> None:
+        self._case = case
+        self.ends = {daemon.name: 0 for daemon in case.daemons}
 
-def runs_twice(case: Case, job: str) -> list[str]:
-    """Return each start of a task that was running elsewhere or had ended done."""
-    running: dict[str, dict[tuple[str, int], float]] = {}
-    noted_done: dict[str, str] = {}
-    not_noted = {
-        (host.host, end[1], end[2]) for host in case.cell.hosts for end in host._ends
-    }
-    breaks = []
-    for event in sorted(case.cell.journal, key=lambda event: event.at):
-        if not event.task.startswith(job):
-            continue
-        runs = running.setdefault(event.task, {})
-        if event.kind == "start":
-            breaks += [
-                f"{event.task}: attempt {event.attempt} started on {event.host} while "
-                f"attempt {attempt} was running on {host} since {event.at - at:.3f} s"
-                for (host, attempt), at in runs.items()
-            ]
-            if event.task in noted_done:
-                breaks.append(
-                    f"{event.task}: attempt {event.attempt} started on {event.host} "
-                    f"after {noted_done[event.task]}"
+    def watch(self) -> None:
+        """Look at the memory of the processes, until killed."""
+        case = self._case
+        while True:
+            for daemon in case.daemons:
+                memory_mb = daemon.memory_mb
+                if daemon.runs and memory_mb <= MEMORY_MB:
+                    continue
+                case.note(f"{daemon.name} ends: {memory_mb:.0f} MB")
+                daemon.kill()
+                self.ends[daemon.name] += 1
+                gevent.spawn_later(
+                    RESTART_S, daemon.start, [one.settings.peer for one in case.daemons]
                 )
-            runs[(event.host, event.attempt)] = event.at
-        else:
-            runs.pop((event.host, event.attempt), None)
-            noted = (event.host, event.task, event.attempt) not in not_noted
-            if event.kind == "done" and noted:
-                noted_done[event.task] = (
-                    f"attempt {event.attempt} ended done on {event.host}, "
-                    "and ack-cursor reached that end"
-                )
-    return breaks
+                gevent.sleep(RESTART_S + 0.1)
+            gevent.sleep(0.05)
+
+
+def play(case: Case) -> list[str]:
+    """Submit the job that repeats, then small jobs of other callers."""
+    cell = case.cell
+    platform = Platform(case)
+    watching = gevent.spawn(platform.watch)
+    small = {"count": 1, "cpu": 1000, "mem-mb": 64, "estimated-runtime-ms": 100}
+    step = small | {"count": TASKS}
+    case.submit(
+        case.follower(),
+        step,
+        spec="run 0.1",
+        **{
+            "repetitions": REPETITIONS,
+            "interval-ms": 60_000,
+            "start-time-ms": int(time.time() * 1000) + 3_600_000,
+        },
+    )
+    gevent.sleep(3.0)
+    accepted: dict[str, float] = {}
+    began = time.monotonic()
+    while time.monotonic() - began < TRAFFIC_S:
+        for daemon in [one for one in case.daemons if one.runs]:
+            body = b'{"spec":"run 0.1","phases":[{"count":1,"cpu":1000,"mem-mb":64}]}'
+            job = cell.new_id()
+            answer = case.call(daemon, "POST", f"/quotes/{job}", body)
+            if answer is not None and answer.status == 200:
+                accepted[job] = time.monotonic()
+                case.note(f"POST /quotes/{job} to {daemon.name}: 200")
+        gevent.sleep(4.0)
+    if not accepted:
+        raise CouldNotRun("no small job was accepted")
+    gevent.sleep(FINISH_S + TURN_S)
+    watching.kill()
+    started = {event.task.partition(".")[0] for event in cell.journal}
+    waiting = [job for job in accepted if job not in started]
+    case.note(
+        f"ends by memory: {platform.ends}; {len(accepted)} small jobs accepted, "
+        f"{len(waiting)} never started"
+    )
+    often = [name for name, ends in platform.ends.items() if ends >= ENDS_ALLOWED]
+    if len(often) >= MACHINES_ALLOWED:
+        case.note(f"Fault: {often} ended by themselves {ENDS_ALLOWED} times or more")
+    return [
+        f"{job} was accepted {time.monotonic() - at:.1f} s ago and has not started; "
+        "all executors are idle"
+        for job, at in accepted.items()
+        if job in waiting
+    ]
 
 
 if __name__ == "__main__":
-    run_case(__file__, hosts=8, daemons=3, play=play)
+    run_case(__file__, hosts=3, daemons=3, play=play)
