Reserve room only for gangs that fit once it is free

Cause: a gang that does not fit reserved hosts until they could hold it when free, without a look whether they ever could. A gang that is too large reserved every host in each plan. Ruled out: slow or refused orders; no start was ever planned.

The same held for hosts that the gang may not use, for room and quota that long-running tasks hold, for the quota of a gang that no hosts can hold, and for old all-at-once jobs of the /v1 scheduler.

Change: hosts are reserved and a team's quota is held back only for a gang that fits on hosts it may use once all tasks that end have ended.

--- a/src/primrosehub/core/resources.py
+++ b/src/primrosehub/core/resources.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 
@@ -73,7 +74,7 @@
 NO_RESOURCES = Resources()
 
 
-def total(amounts: list[Resources]) -> Resources:
+def total(amounts: Iterable[Resources]) -> Resources:
     """Return the sum of the amounts."""
     cpu_m = memory_mb = accelerators = 0
     for amount in amounts:
--- a/src/primrosehub/policy/advice_need.py
+++ b/src/primrosehub/policy/advice_need.py
@@ -12,6 +12,8 @@
     TeamQuotas,
     assign_hosts,
     candidates,
+    fits_on_advised,
+    may_ever_fit,
 )
 
 
@@ -45,7 +47,7 @@
             continue
         count = min(len(demand.tasks), teams.max_tasks(demand.team, demand.need))
         if count == 0 or (demand.gang and count < len(demand.tasks)):
-            if demand.gang:
+            if demand.gang and may_ever_fit(demand, spaces):
                 teams.reserve_for(demand)
             continue
         hosts = []
@@ -54,7 +56,7 @@
         teams.take(demand.team, demand.need, len(hosts))
         if not demand.may_ask:
             continue
-        if hosts or (demand.gang and _knows_too_few(demand, by_host)):
+        if hosts or (demand.gang and not fits_on_advised(demand, spaces)):
             yield AdviceRequest(demand.key, frozenset(hosts))
 
 
@@ -83,13 +85,3 @@
             demand, candidates(demand, by_host, possible, later), count
         )
     return [space.host for _, space in chosen]
-
-
-def _knows_too_few(demand: Demand, by_host: dict[str, HostSpace]) -> bool:
-    """Tell whether a gang would not fit on its allowed hosts if they were empty."""
-    held = sum(
-        by_host[host].total.times_contained(demand.need)
-        for host in demand.allowed_or_expired
-        if host in by_host
-    )
-    return held < len(demand.tasks)
--- a/src/primrosehub/policy/packing.py
+++ b/src/primrosehub/policy/packing.py
@@ -5,7 +5,7 @@
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, field, replace
 
-from primrosehub.core.resources import Resources
+from primrosehub.core.resources import NO_RESOURCES, Resources
 
 MAX_DEMANDS_PER_PLAN = 400  # keeps the making of a plan short
 QUICK_S = 1.5  # tasks with a shorter estimate go where they end soonest
@@ -20,7 +20,8 @@
 
     ``risk`` above 0 makes the host a second choice. ``slowness`` is the logarithm of
     the ratio of its time for a task to the fleet's mean. ``reserved_for`` is the key of
-    the gang for which the host is reserved.
+    the gang for which the host is reserved. ``long_running`` is in use by tasks that
+    run until they are cancelled.
     """
 
     host: str
@@ -33,6 +34,7 @@
     risk: float = 0.0
     slowness: float = 0.0
     reserved_for: object = None
+    long_running: Resources = NO_RESOURCES
 
     def fits(self, need: Resources) -> bool:
         """Tell whether the need fits into the free room."""
@@ -54,6 +56,10 @@
         memory = (self.memory_mb - need.memory_mb) / max(1, self.total.memory_mb)
         return max(cpu, memory)
 
+    def times_once_free(self, need: Resources) -> int:
+        """Return how often the need fits once all tasks that end have ended."""
+        return (self.total - self.long_running).times_contained(need)
+
 
 @dataclass(slots=True)
 class Demand:
@@ -114,18 +120,25 @@
 
 
 class TeamQuotas:
-    """Hold the rest of each team's quota; a team without a limit is not listed."""
+    """Hold the rest of each team's quota; a team without a limit is not listed.
+
+    ``long_running`` is what each team's tasks use that run until they are cancelled.
+    """
 
     def __init__(
-        self, left: dict[str, Resources], limits: dict[str, Resources]
+        self,
+        left: dict[str, Resources],
+        limits: dict[str, Resources],
+        long_running: dict[str, Resources] | None = None,
     ) -> None:
         self._left = left
         self._limits = limits
+        self._long_running = long_running or {}
         self._kept: set[str] = set()
 
     def copy_without_reservations(self) -> TeamQuotas:
         """Return an independent copy in which nothing is reserved for gangs."""
-        return TeamQuotas(dict(self._left), self._limits)
+        return TeamQuotas(dict(self._left), self._limits, self._long_running)
 
     def max_tasks(self, team: str, need: Resources) -> int:
         """Return how many tasks of the need the team may still start."""
@@ -151,9 +164,13 @@
             self._left[team] = self._left[team] - need * count
 
     def reserve_for(self, demand: Demand) -> None:
-        """Hold back later demands of the team if the whole quota can hold this one."""
-        whole = TeamQuotas(self._limits, self._limits)
-        if whole.max_tasks(demand.team, demand.need) >= len(demand.tasks):
+        """Hold back later demands of the team if its quota will ever hold this one."""
+        once_free = {
+            team: limit - self._long_running.get(team, NO_RESOURCES)
+            for team, limit in self._limits.items()
+        }
+        quotas = TeamQuotas(once_free, self._limits)
+        if quotas.max_tasks(demand.team, demand.need) >= len(demand.tasks):
             self._kept.add(demand.team)
 
 
@@ -169,7 +186,7 @@
         if count == 0 or (demand.gang and count < len(demand.tasks)):
             limited.append(demand.key)
             waiting.append(demand)
-            if demand.gang:
+            if demand.gang and may_ever_fit(demand, spaces):
                 teams.reserve_for(demand)
             continue
         assigned = assign_hosts(
@@ -274,28 +291,55 @@
     return room.times_contained(need)
 
 
+def may_ever_fit(demand: Demand, spaces: Iterable[HostSpace]) -> bool:
+    """Tell whether a gang fits on hosts that advice has not refused, once free."""
+    possible = [space for space in spaces if space.host not in demand.refused]
+    return bool(_hosts_once_free(demand, possible))
+
+
+def fits_on_advised(demand: Demand, spaces: Iterable[HostSpace]) -> bool:
+    """Tell whether a gang fits on the hosts that advice allows, once free."""
+    return bool(_hosts_once_free(demand, _advised(demand, spaces)))
+
+
+def _advised(demand: Demand, spaces: Iterable[HostSpace]) -> list[HostSpace]:
+    if demand.allowed is None:
+        return list(spaces)
+    allowed = demand.allowed_or_expired
+    return [space for space in spaces if space.host in allowed]
+
+
+def _hosts_once_free(demand: Demand, spaces: Iterable[HostSpace]) -> list[HostSpace]:
+    """Return hosts that hold a whole gang once free, none if it never fits.
+
+    Hosts with more free room come first, as they will probably be free sooner.
+    """
+    pools: dict[str, list[HostSpace]] = {}
+    for space in sorted(spaces, key=lambda space: -space.cpu_m):
+        if not demand.label or demand.label in space.labels:
+            pools.setdefault(space.rack if demand.one_rack else "", []).append(space)
+    for pool in pools.values():
+        chosen, missing = [], len(demand.tasks)
+        for space in pool:
+            times = space.times_once_free(demand.need)
+            if demand.max_per_host:
+                times = min(times, demand.max_per_host)
+            if times > 0:
+                chosen.append(space)
+                missing -= times
+            if missing <= 0:
+                return chosen
+    return []
+
+
 def _reserve(demand: Demand, by_host: dict[str, HostSpace]) -> int:
     """Reserve the hosts that will probably have room for a gang soonest.
 
-    Return the number of reservations made, 0 or 1.
+    A gang that does not fit even on free hosts reserves none: it would keep them from
+    other steps without ever starting. Return the number of reservations made, 0 or 1.
     """
-    pool = [by_host[host] for host in demand.allowed_or_expired if host in by_host]
-    if demand.allowed is None:
-        pool = list(by_host.values())
-    if not pool:
-        return 0
-    pool = [
-        space
-        for space in pool
-        if space.reserved_for is None
-        and demand.need.fits_in(space.total)
-        and (not demand.label or demand.label in space.labels)
-    ]
-    pool.sort(key=lambda space: -space.cpu_m)
-    missing = len(demand.tasks)
-    for space in pool:
-        if missing <= 0:
-            break
+    unreserved = [space for space in by_host.values() if space.reserved_for is None]
+    chosen = _hosts_once_free(demand, _advised(demand, unreserved))
+    for space in chosen:
         space.reserved_for = demand.key
-        missing -= space.total.times_contained(demand.need)
-    return 1
+    return 1 if chosen else 0
--- a/src/primrosehub/policy/placement.py
+++ b/src/primrosehub/policy/placement.py
@@ -16,12 +16,15 @@
 
 @dataclass(slots=True)
 class HostRoom:
-    """Hold the free resources of a worker host; each placement subtracts from them."""
+    """Hold the free resources of a worker host; each placement subtracts from them.
+
+    ``reclaimable`` is in use by tasks that end by themselves, as services do not.
+    """
 
     name: str
     rack: str
     free: Resources
-    used: Resources = NO_RESOURCES
+    reclaimable: Resources = NO_RESOURCES
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,8 +90,8 @@
     Urgent jobs go first. Then the team furthest below its weighted dominant share
     of the cell goes next, its jobs in the order of their submission. A job that does
     not fit lets later ones pass, except that an all-at-once job older than
-    ``RESERVE_AFTER_S`` reserves the worker hosts with the most room. ``avoid`` names,
-    by job, worker hosts to use only if no other fits.
+    ``RESERVE_AFTER_S`` reserves the worker hosts with the most room, if they can hold
+    it once free. ``avoid`` names, by job, worker hosts to use only if no other fits.
     """
     planner = _Planner(rooms, teams, cell, now_s, avoid or {})
     planner.run(jobs)
@@ -114,6 +117,7 @@
         self._headroom = {name: team.headroom for name, team in teams.items()}
         self._unplaceable_sizes: set[Resources] = set()
         self._unplaceable_counts: dict[Resources, int] = {}
+        self._never_fitting_counts: dict[Resources, int] = {}
         self._reserved_for = ""
 
     def run(self, jobs: Iterable[Job]) -> None:
@@ -151,7 +155,12 @@
         if isinstance(job.spec.work, AllAtOnce):
             known = self._unplaceable_counts.get(size, NO_COUNT)
             aged = self._now_s - job.submitted_s > RESERVE_AFTER_S
-            if job.spec.tasks < known or (aged and not self._reserved_for):
+            may_reserve = (
+                aged
+                and not self._reserved_for
+                and job.spec.tasks < self._never_fitting_counts.get(size, NO_COUNT)
+            )
+            if job.spec.tasks < known or may_reserve:
                 return False
             return len(_pending(job)) >= known
         return size in self._unplaceable_sizes
@@ -229,14 +238,24 @@
         return None
 
     def _reserve(self, job: Job, count: int) -> None:
-        """Reserve the worker hosts with the most room, enough to hold the job."""
-        self._reserved_for = job.id
+        """Reserve the worker hosts with the most room, enough to hold the job.
+
+        A job that does not fit even on free hosts reserves none: it would keep them
+        from other jobs without ever starting.
+        """
         size = job.spec.size
         capacity = 0
+        chosen: list[HostRoom] = []
         for room in sorted(self._rooms, key=lambda r: -self._left_over(r, size)):
             if capacity >= count:
                 break
-            capacity += (room.free + room.used).times_contained(size)
+            capacity += (room.free + room.reclaimable).times_contained(size)
+            chosen.append(room)
+        if capacity < count:
+            self._never_fitting_counts[size] = count
+            return
+        self._reserved_for = job.id
+        for room in chosen:
             self._rooms.remove(room)
 
     def _block(self, job: Job) -> None:
@@ -299,7 +318,8 @@
     def _record_placement(self, job: Job, index: int, room: HostRoom) -> None:
         size, team = job.spec.size, job.spec.team
         room.free -= size
-        room.used += size
+        if not isinstance(job.spec.work, Service):
+            room.reclaimable += size
         self._headroom[team] -= size
         self._used[team] = self._used.get(team, NO_RESOURCES) + size
         self.plan.placements.append(Placement(job.id, index, room.name))
--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -157,6 +157,7 @@
         self.open_steps: dict[tuple[str, int, int], StepRun] = {}
         self.dirty: set[str] = set()
         self.used_by_team: dict[str, Resources] = {}
+        self.long_running_by_team: dict[str, Resources] = {}
 
     def add(
         self,
@@ -405,9 +406,12 @@
         ]
 
     def _add_usage(self, task: TaskRun, sign: int) -> None:
-        team = task.step.job.accepted.team
-        used = self.used_by_team.get(team, NO_RESOURCES)
-        self.used_by_team[team] = used + task.step.spec.need * sign
+        team, spec = task.step.job.accepted.team, task.step.spec
+        changed = [self.used_by_team]
+        if spec.long_running:
+            changed.append(self.long_running_by_team)
+        for used in changed:
+            used[team] = used.get(team, NO_RESOURCES) + spec.need * sign
 
 
 def _check_index(step: StepRun, index: int) -> None:
--- a/src/primrosehub/services/_placer.py
+++ b/src/primrosehub/services/_placer.py
@@ -143,8 +143,9 @@
             usable = session.fenced and session.reachable and not host.leaving
             if usable and self._failures.may_start(host.name, running, now):
                 used = self._state.used_on(host.name)
+                reclaimable = self._state.reclaimable_on(host.name)
                 free_by_host.append(
-                    HostRoom(host.name, host.rack, host.capacity - used, used)
+                    HostRoom(host.name, host.rack, host.capacity - used, reclaimable)
                 )
         return free_by_host
 
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -10,7 +10,7 @@
 from gevent.event import Event
 
 from primrosehub.core.clusterconfig import ClusterConfig
-from primrosehub.core.resources import NO_RESOURCES, Resources
+from primrosehub.core.resources import NO_RESOURCES, total
 from primrosehub.kernel.clock import steady_s, unix_ms
 from primrosehub.policy.advice_need import AdviceRequest, advice_requests
 from primrosehub.policy.host_pace import fleet_mean_slowness, slowness
@@ -24,7 +24,7 @@
 from primrosehub.policy.urgency import Urgency, critical_paths_s, objective_s, urgency
 from primrosehub.services._advice_calls import READVISE_INTERVAL_S, AdviceCalls
 from primrosehub.services._host_session import HostSession
-from primrosehub.services._job_book import JobRun, StepRun, TaskPhase
+from primrosehub.services._job_book import JobBook, JobRun, StepRun, TaskPhase
 from primrosehub.services._wait_report import WaitReport
 
 if TYPE_CHECKING:
@@ -78,7 +78,7 @@
         by_service: dict[str, list[StepRun]] = {}
         for step in steps:
             by_service.setdefault(_service_of(step, config), []).append(step)
-        quotas = _team_quotas(config, term.book.used_by_team)
+        quotas = _team_quotas(config, term.book)
         requests = []
         for service, service_steps in by_service.items():
             spaces = self._host_spaces(service, began)
@@ -202,19 +202,25 @@
         labels=session.info.labels,
         risk=session.trust.risk,
         slowness=slowness(session.pace, fleet_mean),
+        long_running=total(
+            task.step.spec.need
+            for task in session.assigned_tasks
+            if task.step.spec.long_running
+        ),
     )
 
 
-def _team_quotas(config: ClusterConfig, used: dict[str, Resources]) -> TeamQuotas:
+def _team_quotas(config: ClusterConfig, book: JobBook) -> TeamQuotas:
     limits = {
         name: team.limit
         for name, team in config.teams.items()
         if team.limit != NO_RESOURCES
     }
     remaining = {
-        name: limit - used.get(name, NO_RESOURCES) for name, limit in limits.items()
+        name: limit - book.used_by_team.get(name, NO_RESOURCES)
+        for name, limit in limits.items()
     }
-    return TeamQuotas(remaining, limits)
+    return TeamQuotas(remaining, limits, book.long_running_by_team)
 
 
 def _demand(step: StepRun, now: float) -> Demand:
--- a/src/primrosehub/services/_shard_state.py
+++ b/src/primrosehub/services/_shard_state.py
@@ -8,9 +8,9 @@
 
 from primrosehub.border.codec import from_plain, to_plain
 from primrosehub.core import keys
-from primrosehub.core.resources import NO_RESOURCES, Resources
+from primrosehub.core.resources import NO_RESOURCES, Resources, total
 from primrosehub.core.table import Expect, Row, Transaction, Write
-from primrosehub.core.work import Job, JobState, Task, TaskRef, TaskState
+from primrosehub.core.work import Job, JobState, Service, Task, TaskRef, TaskState
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +97,15 @@
             used += self.entries[ref.job].job.spec.size
         return used
 
+    def reclaimable_on(self, host: str) -> Resources:
+        """Return what attempts that end by themselves use on a worker host."""
+        return total(
+            spec.size
+            for ref in self.assigned_to(host)
+            for spec in [self.entries[ref.job].job.spec]
+            if not isinstance(spec.work, Service)
+        )
+
     def used_by_team(self) -> dict[str, Resources]:
         """Return the resources of each team's assigned attempts in this shard."""
         used: dict[str, Resources] = defaultdict(Resources)
--- a/testing/hub/test_jobs.py
+++ b/testing/hub/test_jobs.py
@@ -34,6 +34,18 @@
     assert max(e.at for e in starts) - min(e.at for e in starts) < 0.5
 
 
+# Guards against hosts that stay idle while a gang waits that can never start.
+def test_a_late_job_starts_beside_a_gang_that_never_fits(start_hubs):
+    cell = start_hubs(hosts=2)
+    hopeless = {"count": 5, "cpu": 4000, "mem-mb": 64, "gang-scheduled": True}
+    cell.submit(cell.leader(), hopeless)
+    gevent.sleep(1.0)  # until the gang is late, and so is the first to be planned
+    filling = cell.submit(cell.leader(), {"count": 4, "cpu": 4000}, spec="run 2")
+    cell.until(lambda: len(cell.starts(filling)) == 4, "the hosts are not full")
+    late = cell.submit(cell.leader(), {"count": 1, "cpu": 4000})
+    cell.wait_for(cell.leader(), late, "completed")
+
+
 def test_a_team_never_runs_more_than_its_limit(start_hubs):
     cell = start_hubs()
     limit = {"cpu": 2000}
--- a/testing/policy/test_packing.py
+++ b/testing/policy/test_packing.py
@@ -33,6 +33,63 @@
     assert hosts_of(plan([gang, later], [busy], NO_LIMITS)) == []
 
 
+# Guards against idle hosts while a gang that can never start holds them.
+def test_no_room_is_kept_for_a_gang_that_never_fits():
+    busy = a_host_space()
+    busy.take(Resources(6000, 0))
+    gang, later = a_demand(3, 4000, gang=True), a_demand(1, 1000, key="later")
+    assert hosts_of(plan([gang, later], [busy], NO_LIMITS)) == ["h1"]
+
+
+# As above, with hosts enough of which the gang may use too few.
+def test_no_room_is_kept_for_a_gang_on_hosts_that_it_can_not_use():
+    limits = (
+        {"label": "b"},
+        {"max_per_host": 1},
+        {"one_rack": True},
+        {"allowed": frozenset({"h1"})},
+        {"allowed": frozenset(), "refused": frozenset({"h1", "h2"})},
+    )
+    for limit in limits:
+        spaces = [a_host_space("h1"), a_host_space("h2", rack="r2")]
+        for space in spaces:
+            space.take(Resources(4000, 0))
+        gang = a_demand(4, 4000, gang=True, **limit)
+        later = a_demand(1, 1000, key="later")
+        assert len(hosts_of(plan([gang, later], spaces, NO_LIMITS))) == 1, limit
+
+
+# Guards against waiting for room that is only free once its job is cancelled.
+def test_no_room_is_kept_for_a_gang_that_waits_for_long_running_tasks():
+    busy = a_host_space(long_running=Resources(6000, 0))
+    busy.take(Resources(6000, 0))
+    gang, later = a_demand(2, 4000, gang=True), a_demand(1, 1000, key="later")
+    assert hosts_of(plan([gang, later], [busy], NO_LIMITS)) == ["h1"]
+
+
+def test_a_gang_reserves_hosts_of_a_single_rack_that_can_hold_it():
+    spaces = [a_host_space("h1"), *(a_host_space(f"s{n}", rack="r2") for n in (1, 2))]
+    for space, used_m in zip(spaces, (1000, 6000, 6000), strict=True):
+        space.take(Resources(used_m, 0))
+    gang = a_demand(4, 4000, gang=True, one_rack=True)
+    later = a_demand(9, 1000, key="later")
+    assert set(hosts_of(plan([gang, later], spaces, NO_LIMITS))) == {"h1"}
+
+
+# Guards against a gang that no host can hold keeping back its team's other jobs.
+def test_no_room_below_a_limit_is_kept_for_a_gang_that_never_fits():
+    teams = TeamQuotas({"blue": Resources(3000)}, {"blue": Resources(90_000)})
+    gang, later = a_demand(9, 1000, gang=True), a_demand(1, key="later")
+    assert hosts_of(plan([gang, later], [a_host_space()], teams)) == ["h1"]
+
+
+def test_no_room_below_a_limit_is_kept_for_a_gang_that_waits_for_long_running_tasks():
+    limit, used = {"blue": Resources(9000)}, {"blue": Resources(6000)}
+    teams = TeamQuotas({"blue": Resources(3000)}, limit, long_running=used)
+    gang, later = a_demand(4, 1000, gang=True), a_demand(1, key="later")
+    assert hosts_of(plan([gang, later], [a_host_space()], teams)) == ["h1"]
+
+
 def test_a_team_starts_no_more_than_its_limit_leaves():
     teams = TeamQuotas({"blue": Resources(2500)}, {"blue": Resources(9000)})
     assert len(hosts_of(plan([a_demand(5)], [a_host_space()], teams))) == 2
--- a/testing/policy/test_placement.py
+++ b/testing/policy/test_placement.py
@@ -74,13 +74,31 @@
 def test_an_old_all_at_once_job_reserves_room_against_later_jobs():
     old = a_job("blue.1", work=an_all_at_once(), tasks=4)
     late = a_job("blue.2", submitted_s=5.0)
-    rooms = [HostRoom("w0", "r", a_size(2, 9), used=a_size(2, 9))]
+    rooms = [HostRoom("w0", "r", a_size(2, 9), reclaimable=a_size(2, 9))]
     assert hosts(planned([old, late], [*rooms], now_s=10.0)) == ["w0"]
-    rooms = [HostRoom("w0", "r", a_size(2, 9), used=a_size(2, 9))]
+    rooms = [HostRoom("w0", "r", a_size(2, 9), reclaimable=a_size(2, 9))]
     result = planned([old, late], rooms, now_s=100.0)
     assert result.blocked["blue.2"] == BehindReservation("blue.1")
 
 
+# Guards against an all-at-once job that can never start holding the hosts it asks for.
+def test_an_all_at_once_job_that_never_fits_reserves_nothing():
+    old = a_job("blue.1", work=an_all_at_once(), tasks=5)
+    late = a_job("blue.2", submitted_s=5.0)
+    rooms = [HostRoom("w0", "r", a_size(2, 9), reclaimable=a_size(2, 9))]
+    assert hosts(planned([old, late], rooms, now_s=100.0)) == ["w0"]
+
+
+# Guards against waiting for room that a service holds until it is cancelled.
+def test_room_of_services_is_not_expected_to_be_free_for_an_all_at_once_job():
+    service = a_job("blue.0", work=a_service(), size=a_size(2))
+    old = a_job("blue.1", work=an_all_at_once(), tasks=4, submitted_s=1.0)
+    late = a_job("blue.2", submitted_s=5.0)
+    rooms = [HostRoom("w0", "r", a_size(4, 9))]
+    result = planned([service, old, late], rooms, now_s=100.0)
+    assert [p.job for p in result.placements] == ["blue.0", "blue.2"]
+
+
 def test_service_tasks_spread_over_racks():
     rooms = some_rooms(8, 8, 8, 8, racks=("a", "b"))
     result = planned([a_job(work=a_service(), tasks=2)], rooms)
