Send each order to the incarnation of a host that it is meant for

Cause: a hold to the old incarnation waits up to 2 s while orders already reach the new one. The next hold acknowledges ends of the new incarnation with a number of the old one, and host_reborn frees all assigned tasks, also those that run on the new incarnation. Ruled out: a lease that ended early; no lease lapsed in the record.

Change: each connection begins with a look that renews and acknowledges nothing and tells the incarnation; orders, leases and acknowledgements go only over connections that a look of the known incarnation has left open. A look that shows another incarnation ends all calls over older connections.

--- a/src/primrosehub/border/http_client.py
+++ b/src/primrosehub/border/http_client.py
@@ -9,6 +9,7 @@
 
 import select as blocking_select
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import gevent
@@ -29,6 +30,10 @@
     """Report that no byte of the request was sent, so it certainly did not run."""
 
 
+class NoKeptConnection(NotSent):
+    """Report that no idle connection could be used."""
+
+
 class NoAnswer(Exception):
     """Report that a request was sent, at least in part, but not fully answered."""
 
@@ -80,17 +85,32 @@
     max_idle: int = 8
     on_bytes_transferred: Callable[[int], None] | None = None
     _idle: list[socket.socket] = field(default_factory=list)
+    _busy: set[socket.socket] = field(default_factory=set)
 
     @property
     def address(self) -> str:
         """Return the address as written in a Host header."""
         return f"{self.ip}:{self.port}"
 
+    @property
+    def has_idle(self) -> bool:
+        """Tell whether an idle connection can be used."""
+        while self._idle and not _is_reusable(self._idle[-1]):
+            self._idle.pop().close()
+        return bool(self._idle)
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
             self._idle.pop().close()
 
+    def abort(self) -> None:
+        """Close all connections; exchanges in progress raise NoAnswer."""
+        self.close()
+        for sock in self._busy:
+            with suppress(OSError):  # the peer may have closed it already
+                sock.shutdown(socket.SHUT_RDWR)
+
     def exchange(
         self,
         method: str,
@@ -100,15 +120,20 @@
         *,
         timeout_s: float,
         new_connection: bool = False,
+        kept_connection: bool = False,
     ) -> Response:
         """Send a request once and return its response; raise NotSent or NoAnswer.
 
         ``new_connection`` uses no idle connection: the peer may have closed one without
         our knowing, and it would then be unknown whether the request ran.
+        ``kept_connection`` uses only an idle one: a new one may lead to a peer that has
+        restarted since.
         """
         request = encode_request(method, target, self.address, headers, body)
         exchange_timeout = gevent.Timeout.start_new(timeout_s)
         try:
+            if kept_connection and not self.has_idle:
+                raise NoKeptConnection(f"{self.address}: no idle connection")
             sock = self._connect(new_connection, exchange_timeout)
             return self._send(sock, request, method, exchange_timeout)
         finally:
@@ -141,6 +166,7 @@
         exchange_timeout: gevent.Timeout,
     ) -> Response:
         reusable = False
+        self._busy.add(sock)
         try:
             sock.sendall(request)
             parser = _read_response(sock, method)
@@ -157,6 +183,7 @@
         except (OSError, HTTPParseError) as error:
             raise NoAnswer(f"{self.address}: {error}") from None
         finally:
+            self._busy.discard(sock)
             if reusable and len(self._idle) < self.max_idle:
                 self._idle.append(sock)
             else:
--- a/src/primrosehub/platform/hosts.py
+++ b/src/primrosehub/platform/hosts.py
@@ -150,7 +150,12 @@
 
 
 class HostClient:
-    """Send orders to one worker host, all with the epoch of one owner."""
+    """Send orders to one worker host, all with the epoch of one owner.
+
+    No connection outlasts an incarnation of the host, and a new one may lead to the
+    next. So only ``look`` opens connections, and it changes nothing on the host; all
+    other calls use a connection that a look has left open.
+    """
 
     def __init__(self, host: str, address: str, epoch: int, max_idle: int) -> None:
         parsed = parse_address(address)
@@ -158,10 +163,28 @@
         self._epoch = epoch
         self._headers = (*wire.JSON_HEADERS, (wire.EXPECTED_INSTANCE_HEADER, host))
 
+    @property
+    def connected(self) -> bool:
+        """Tell whether a connection that a look has left open can be used."""
+        return self._endpoint.has_idle
+
     def close(self) -> None:
         """Close the idle connections."""
         self._endpoint.close()
 
+    def abort(self) -> None:
+        """Close all connections; calls in progress get no answer."""
+        self._endpoint.abort()
+
+    def look(self, timeout_s: float) -> HostReport:
+        """Return the host's report over a new connection, which stays open.
+
+        No lease is renewed and no end acknowledged. Raise LeaseRenewalRefused or
+        HostReportUnavailable.
+        """
+        body = {"fencing-token": self._epoch, "ack-cursor": 0}
+        return self._read_report(body, timeout_s, new_connection=True)
+
     def start(self, order: StartOrder, timeout_s: float) -> OrderOutcome:
         """Order the start of an attempt."""
         body = {
@@ -201,8 +224,13 @@
             body["deadline-ms"] = lease_until_ms
         if wait_s:
             body["wait-ms"] = int(wait_s * 1000)
+        return self._read_report(body, timeout_s, new_connection=False)
+
+    def _read_report(
+        self, body: dict[str, object], timeout_s: float, new_connection: bool
+    ) -> HostReport:
         try:
-            response = self._post(wire.HOLD_PATH, body, timeout_s)
+            response = self._post(wire.HOLD_PATH, body, timeout_s, new_connection)
         except (NotSent, NoAnswer) as error:
             raise HostReportUnavailable(str(error)) from None
         if response.status != 200:
@@ -225,9 +253,21 @@
         except ValidationError as error:
             return OrderUnanswered(f"invalid response: {error}")
 
-    def _post(self, path: str, body: dict[str, object], timeout_s: float) -> Response:
+    def _post(
+        self,
+        path: str,
+        body: dict[str, object],
+        timeout_s: float,
+        new_connection: bool = False,
+    ) -> Response:
         return self._endpoint.exchange(
-            "POST", path, self._headers, orjson.dumps(body), timeout_s=timeout_s
+            "POST",
+            path,
+            self._headers,
+            orjson.dumps(body),
+            timeout_s=timeout_s,
+            new_connection=new_connection,
+            kept_connection=not new_connection,
         )
 
 
--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 from primrosehub.core.fleet import (
     OrderDone,
     OrderNotSent,
+    OrderOutcome,
     OrderRefused,
     OrderUnanswered,
     RefusalReason,
@@ -99,15 +101,15 @@
     names it. ``reached`` tells whether the host has ever reported in this term,
     ``answering`` whether it answered the last renewal. A host numbers the ends of its
     attempts: ``last_received_end`` and ``last_stored_end`` are the highest numbers
-    received and stored; ``ends_stored`` is set after storing.
+    received and stored; ``ends_stored`` is set after storing. ``client`` leads to one
+    incarnation of the host and is replaced once another one answers, so that no order,
+    lease or acknowledgement reaches an incarnation that it was not meant for.
     """
 
     def __init__(self, term: OwnerTerm, info: WorkerHost) -> None:
         self._term = term
         self.info = info
-        self.client = HostClient(
-            info.host, info.address, term.epoch, MAX_IDLE_CONNECTIONS
-        )
+        self.client = self._new_client()
         self.assigned_tasks: dict[TaskRun, None] = {}
         self.untracked_attempts: dict[StopOrder, Resources] = {}
         self.trust = HostTrust()
@@ -203,9 +205,12 @@
             pending = self.last_received_end > self.last_stored_end
             wait_s = 0.0 if pending or not self.reached else REPORT_WAIT_S
             self.ends_stored.clear()
+            client = self.client
             try:
-                self._renew_lease(wait_s)
+                self._renew_lease(client, wait_s)
             except HostReportUnavailable as error:
+                if client is not self.client:
+                    continue  # the host has restarted
                 self._handle_no_report(str(error))
                 gevent.sleep(RETRY_S)
             except LeaseRenewalRefused as error:
@@ -215,29 +220,24 @@
                 if self.last_received_end > self.last_stored_end:
                     self.ends_stored.wait(ENDS_STORED_TIMEOUT_S)
 
-    def _renew_lease(self, wait_s: float) -> None:
+    def _renew_lease(self, client: HostClient, wait_s: float) -> None:
         sent_at = steady_s()
-        lease_until_ms = 0
-        # A host that does not answer may still receive renewals, so none is offered:
-        # its lease has to expire before its tasks are started elsewhere.
-        if self._clock_reading is not None and self.answering:
-            lease_until_ms = (
-                self._clock_reading.latest_ms(sent_at) + self._term.lease_ms
+        if client.connected:
+            report = client.renew_lease(
+                self.last_stored_end,
+                self._offer_lease(sent_at),
+                wait_s,
+                wait_s + REPORT_TIMEOUT_S,
             )
-            self._max_lease_until_ms = max(self._max_lease_until_ms, lease_until_ms)
-        report = self.client.renew_lease(
-            self.last_stored_end, lease_until_ms, wait_s, wait_s + REPORT_TIMEOUT_S
-        )
+        else:
+            report = client.look(REPORT_TIMEOUT_S)
         received_at = steady_s()
-        if self.closed:
+        if self.closed or client is not self.client:
             return
-        if self._born_ms and report.born_ms != self._born_ms:
-            log("host_reborn", host=self.host, born=report.born_ms)
-            self.last_received_end = self.last_stored_end = 0
-            self._max_lease_until_ms = 0
-            self._term.host_lost_tasks(self, "restarted")
-        self._born_ms = report.born_ms
-        self._clock_reading = _ClockReading(report.clock_ms, sent_at, received_at)
+        reading = _ClockReading(report.clock_ms, sent_at, received_at)
+        if not self._is_known_incarnation(report.born_ms):
+            self._note_restart(report.born_ms, reading)
+        self._born_ms, self._clock_reading = report.born_ms, reading
         if not self.answering:
             self.answering = True
             log(
@@ -253,8 +253,72 @@
         if first:
             self._term.host_reached(self)
 
+    def _offer_lease(self, now: float) -> int:
+        """Return until when a lease is offered, on the host's clock; 0 for no lease.
+
+        A host that does not answer may still receive renewals, so none is offered: its
+        lease has to expire before its tasks are started elsewhere.
+        """
+        if self._clock_reading is None or not self.answering:
+            return 0
+        lease_until_ms = self._clock_reading.latest_ms(now) + self._term.lease_ms
+        self._max_lease_until_ms = max(self._max_lease_until_ms, lease_until_ms)
+        return lease_until_ms
+
+    def _new_client(self) -> HostClient:
+        return HostClient(
+            self.info.host, self.info.address, self._term.epoch, MAX_IDLE_CONNECTIONS
+        )
+
+    def _is_known_incarnation(self, born_ms: int) -> bool:
+        return not self._born_ms or born_ms == self._born_ms
+
+    def _note_restart(self, born_ms: int, reading: _ClockReading) -> None:
+        """Begin anew with another incarnation, which runs nothing of this owner's."""
+        log("host_reborn", host=self.host, born=born_ms)
+        self.client.abort()
+        self.client = self._new_client()
+        self.last_received_end = self.last_stored_end = 0
+        self._max_lease_until_ms = 0
+        self._born_ms, self._clock_reading = born_ms, reading
+        self._term.host_lost_tasks(self, "restarted")
+
+    def _connect(self) -> bool:
+        """Open a connection if there is none; tell whether the host can be ordered.
+
+        It can't if it turns out to have restarted. Raise LeaseRenewalRefused or
+        HostReportUnavailable.
+        """
+        client, sent_at = self.client, steady_s()
+        if client.connected:
+            return True
+        report = client.look(ORDER_TIMEOUT_S)
+        if self.closed or client is not self.client:
+            return False
+        if self._is_known_incarnation(report.born_ms):
+            return True
+        reading = _ClockReading(report.clock_ms, sent_at, steady_s())
+        self._note_restart(report.born_ms, reading)
+        return False
+
+    def _send_order(self, send: Callable[[HostClient], OrderOutcome]) -> OrderOutcome:
+        """Send an order to the known incarnation of the host, and to no other."""
+        try:
+            if not self._connect():
+                return OrderNotSent("the host has restarted")
+        except HostReportUnavailable as error:
+            return OrderNotSent(str(error))
+        except LeaseRenewalRefused as error:
+            return OrderRefused(error.reason)
+        client = self.client
+        outcome = send(client)
+        if isinstance(outcome, OrderUnanswered):
+            client.close()  # the host may have restarted and know none of them
+        return outcome
+
     def _handle_no_report(self, reason: str) -> None:
         now = steady_s()
+        self.client.close()  # the host may have restarted and know none of them
         if self.answering:
             self.answering = False
             self._unanswered_since = now
@@ -288,13 +352,15 @@
             return
         order = self._build_start_order(task)
         sent_at = steady_s()
-        outcome = self.client.start(order, ORDER_TIMEOUT_S)
+        outcome = self._send_order(lambda client: client.start(order, ORDER_TIMEOUT_S))
         if isinstance(outcome, OrderUnanswered):
             log("start_unanswered", **_attempt_fields(task), host=self.host)
             # The host may still carry out the order. Unless a repeated order is done,
             # only a stop makes sure that the attempt does not run.
             if self._is_still_starting(task, attempt) and self._term.may_order:
-                again = self.client.start(order, ORDER_TIMEOUT_S)
+                again = self._send_order(
+                    lambda client: client.start(order, ORDER_TIMEOUT_S)
+                )
                 outcome = again if isinstance(again, OrderDone) else outcome
         if self.closed or task.host != self.host or task.attempt != attempt:
             return
@@ -352,7 +418,9 @@
             ):
                 return
             if self._term.may_order:
-                outcome = self.client.stop(order, ORDER_TIMEOUT_S)
+                outcome = self._send_order(
+                    lambda client: client.stop(order, ORDER_TIMEOUT_S)
+                )
                 if self._is_stop_settled(task, order, outcome, reason):
                     return
             gevent.sleep(RETRY_S)
--- a/src/primrosehub_standins/worker_host.py
+++ b/src/primrosehub_standins/worker_host.py
@@ -60,7 +60,10 @@
 
 @dataclass(slots=True)
 class WorkerHostStandin:
-    """Run commands by waiting; ``crash`` begins a new incarnation of the host."""
+    """Run commands by waiting; ``crash`` begins a new incarnation of the host.
+
+    A connection belongs to the incarnation that it first reached, and ends with it.
+    """
 
     host: str
     journal: list[HostEvent]
@@ -84,6 +87,7 @@
     _born_at: float = field(default_factory=steady_s)
     _born_ms: int = field(default_factory=unix_ms)
     _incarnation: int = 0
+    _connections: dict[tuple[str, str], int] = field(default_factory=dict)
     _ended: Event = field(default_factory=Event)
 
     @property
@@ -107,11 +111,21 @@
         self._incarnation += 1
         self._wake_waiters()
 
+    def lose_power(self) -> None:
+        """Crash, and answer nothing until ``silent`` is reset."""
+        self.silent = True
+        self.crash()
+
     def app(self, environ: dict[str, Any], start: StartResponse) -> list[bytes]:
         """Answer one call."""
         body = json_of(environ)
         if self.silent:
             raise Hang
+        connection = (environ["REMOTE_ADDR"], environ["REMOTE_PORT"])
+        incarnation = self._incarnation
+        if self._connections.setdefault(connection, incarnation) != incarnation:
+            del self._connections[connection]
+            raise CloseConnection
         if environ.get("HTTP_PRIMROSEHUB_EXPECTED_INSTANCE") != self.host:
             return reply_json(start, {}, "421 Misdirected")
         path = environ["PATH_INFO"].rpartition("/")[2]
@@ -130,6 +144,8 @@
             "hold": self._hold,
         }
         status, answer = actions[path](body)
+        if self._incarnation != incarnation:
+            raise Hang if self.silent else CloseConnection
         if self.mute:
             raise Hang
         if self.lose_answers and path != "hold":
--- a/testing/hub/test_hosts.py
+++ b/testing/hub/test_hosts.py
@@ -1,5 +1,7 @@
 """Worker hosts that stop answering, lose responses, fail, drain or restart."""
 
+import random
+
 import gevent
 
 from primrosehub_standins.hub_cell import find_double_runs
@@ -69,6 +71,39 @@
     assert len(cell.starts(job)) == 2
 
 
+# Guards against freeing tasks that were started since a restart that is noticed late,
+# and against acknowledging their ends with a number of the incarnation before.
+def test_tasks_started_after_an_unnoticed_restart_run_once(start_hubs):
+    cell = start_hubs(hosts=1)
+    host = cell.hosts[0]
+    for _ in range(3):
+        cell.wait_for(cell.leader(), cell.submit(cell.leader()), "completed")
+    gevent.sleep(0.3)  # until the owner waits for the next report
+    host.lose_power()
+    gevent.sleep(0.3)
+    host.silent = False
+    long = cell.submit(cell.leader(), spec="run 3")
+    short = cell.submit(cell.leader(), spec="run 0.2")
+    for job in (long, short):
+        cell.wait_for(cell.leader(), job, "completed")
+        assert len(cell.starts(job)) == 1
+
+
+def test_jobs_complete_and_run_at_one_place_while_hosts_restart(start_hubs):
+    cell = start_hubs(hosts=3)
+    choices = random.Random(36)
+    jobs = []
+    for _ in range(15):
+        jobs += [cell.submit(cell.leader(), spec=f"run {s}") for s in (0.1, 0.8)]
+        host = choices.choice(cell.hosts)
+        host.lose_power()
+        gevent.sleep(choices.uniform(0.0, 0.4))
+        host.silent = False
+        gevent.sleep(choices.uniform(0.0, 0.3))
+    for job in jobs:
+        cell.wait_for(cell.leader(), job, "completed")
+
+
 def test_a_task_on_a_silent_host_moves_after_the_lease_expires(start_hubs):
     cell = start_hubs()
     job = cell.submit(cell.leader(), spec="run 20")
