Take a full list of ends for one that may leave some out

Cause: a host lists 500 ends at most, and the owner took an attempt that is neither running nor listed for vanished. After a take-over it counted a host as read with its first report and freed what that left out. Ruled out: lost acknowledgements; the store was down, so there were none.

Change: a report tells whether its list may be cut. Missing attempts are left alone until a report lists all ends, and a term settles once all hosts have listed all, or are silent without a lease.

--- a/src/primrosehub/core/fleet.py
+++ b/src/primrosehub/core/fleet.py
@@ -73,7 +73,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HostReport:
-    """Hold a worker host's report of its running and ended attempts."""
+    """Hold a worker host's report of its running and ended attempts.
+
+    ``ends_complete`` is false if more attempts may have ended than the report lists.
+    """
 
     clock_ms: int
     born_ms: int
@@ -81,6 +84,7 @@
     ended: tuple[EndedAttempt, ...]
     draining: bool = False
     remaining_ms: int | None = None
+    ends_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosehub/platform/hosts.py
+++ b/src/primrosehub/platform/hosts.py
@@ -297,6 +297,7 @@
             ended=tuple(_decode_ended(*row) for row in answer.ended),
             draining=answer.state == _DRAINING,
             remaining_ms=answer.remaining_ms,
+            ends_complete=len(answer.ended) < wire.MAX_LISTED_ENDS,
         )
     except (ValueError, TypeError) as error:
         raise HostReportUnavailable(f"invalid response: {error}") from None
--- a/src/primrosehub/platform/wire.py
+++ b/src/primrosehub/platform/wire.py
@@ -33,6 +33,7 @@
 MAX_TEXT_CHARS = 1000  # of a name or a label
 MAX_TOKEN_CHARS = 65_536  # of a checkpoint or a ticket, which only hosts read
 MAX_LABELS = 100  # of one worker host
+MAX_LISTED_ENDS = 500  # in one report of a worker host
 
 Amount = Annotated[int, Field(ge=0, le=MAX_AMOUNT)]
 TimeMs = Annotated[int, Field(ge=0, le=MAX_TIME_MS)]
--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -99,6 +99,7 @@
     ``leaves_at`` is when a draining host stops, on this daemon's clock. ``listed``
     tells whether the store lists the host, ``enrolled`` whether the stored roster
     names it. ``reached`` tells whether the host has ever reported in this term,
+    ``ends_listed`` whether it has ever listed all ends that the owner had not stored,
     ``answering`` whether it answered the last renewal. A host numbers the ends of its
     attempts: ``last_received_end`` and ``last_stored_end`` are the highest numbers
     received and stored; ``ends_stored`` is set after storing. ``client`` leads to one
@@ -119,6 +120,7 @@
         self.unlisted_at = 0.0
         self.enrolled = False
         self.reached = False
+        self.ends_listed = False
         self.closed = False
         self.answering = False
         self.last_received_end = 0
@@ -247,10 +249,11 @@
                 ended=len(report.ended),
                 silent_s=round(received_at - self._unanswered_since, 3),
             )
-        first = not self.reached
+        first, listed_before = not self.reached, self.ends_listed
         self.reached = True
+        self.ends_listed |= report.ends_complete
         self._term.apply_report(self, report, sent_at)
-        if first:
+        if first or self.ends_listed != listed_before:
             self._term.host_reached(self)
 
     def _offer_lease(self, now: float) -> int:
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -213,7 +213,7 @@
         self.host_lost_tasks(session, "moved")
 
     def host_reached(self, session: HostSession) -> None:
-        """Handle a host's first report in this term."""
+        """Handle the first report of a host, and the first that lists all its ends."""
         self._check_settled()
         self.wake()
 
@@ -299,18 +299,21 @@
                 self.stop(task, "host leaves")
 
     def _check_settled(self) -> None:
-        """Free tasks that no host reported, once all hosts have reported.
+        """Free tasks that no host reported, once all hosts have listed all their ends.
 
-        After ``UNREACHED_TIMEOUT_S`` this happens without the hosts not reached.
+        After ``UNREACHED_TIMEOUT_S`` this happens without the silent hosts.
         """
         if self.settled or not self.loaded.is_set():
             return
-        overdue = steady_s() - self.began_at > UNREACHED_TIMEOUT_S
+        now = steady_s()
+        overdue = now - self.began_at > UNREACHED_TIMEOUT_S
         # Without the roster, a host that is not listed may still run tasks.
-        all_reached = self.roster_known and all(
-            session.reached for session in self.sessions.values()
+        all_known = (self.roster_known or overdue) and all(
+            session.ends_listed
+            or (overdue and not session.answering and session.lease_has_expired(now))
+            for session in self.sessions.values()
         )
-        if overdue or all_reached:
+        if all_known:
             self.settled = True
             stops = self.book.settle()
             log("term_settled", epoch=self.epoch, overdue=overdue, stops=len(stops))
--- a/src/primrosehub/services/_reports.py
+++ b/src/primrosehub/services/_reports.py
@@ -34,7 +34,8 @@
 ) -> None:
     """Process a report's ends and progress, and its untracked and missing attempts.
 
-    ``sent_at`` is the time at which the report was requested.
+    ``sent_at`` is the time at which the report was requested. While a report does not
+    list all ends, an attempt that is missing may have ended, so it is left as it is.
     """
     for end in report.ended:
         if end.number > session.last_received_end:
@@ -50,9 +51,10 @@
         if (one.task, one.attempt) not in reported
     ]:
         del session.untracked_attempts[order]
-    for task in list(session.assigned_tasks):
-        if (task.id, task.attempt) not in reported:
-            _process_absent(term, session, task, sent_at)
+    if report.ends_complete:
+        for task in list(session.assigned_tasks):
+            if (task.id, task.attempt) not in reported:
+                _process_absent(term, session, task, sent_at)
     if report.remaining_ms is not None:
         session.leaves_at = steady_s() + report.remaining_ms / 1000
     if report.draining and not session.info.draining:
--- a/src/primrosehub_standins/worker_host.py
+++ b/src/primrosehub_standins/worker_host.py
@@ -24,6 +24,7 @@
 )
 
 MAX_LEASE_MS = 10_000
+MAX_LISTED_ENDS = 500
 STOP_S = 0.05
 
 
@@ -77,6 +78,7 @@
     draining: bool = False
     stop_s: float = STOP_S
     refusals: list[str] = field(default_factory=list)
+    max_listed_ends: int = MAX_LISTED_ENDS
     requires_ticket: bool = False
     _runs: dict[str, _Run] = field(default_factory=dict)
     _ends: list[list[Any]] = field(default_factory=list)
@@ -224,7 +226,7 @@
                 [run.task, run.attempt, run.checkpoint, run.percent(now)]
                 for run in self._runs.values()
             ],
-            "ended": self._ends[:500],
+            "ended": self._ends[: self.max_listed_ends],
         }
 
     def _extend_lease(self, deadline_ms: int) -> None:
--- a/testing/hub/test_hosts.py
+++ b/testing/hub/test_hosts.py
@@ -3,8 +3,11 @@
 import random
 
 import gevent
+import pytest
 
+from primrosehub.platform import wire
 from primrosehub_standins.hub_cell import find_double_runs
+from primrosehub_standins.row_store import EndpointState
 
 
 def test_tasks_on_a_host_that_a_new_owner_cannot_reach_start_nowhere_else(start_hubs):
@@ -104,6 +107,58 @@
         cell.wait_for(cell.leader(), job, "completed")
 
 
+@pytest.fixture
+def start_hubs_with_short_lists(start_hubs, monkeypatch):
+    """Start a cell whose hosts list a few ends at a time."""
+    most = 5
+    monkeypatch.setattr(wire, "MAX_LISTED_ENDS", most)
+
+    def start(**layout):
+        cell = start_hubs(**layout)
+        for host in cell.hosts:
+            host.max_listed_ends = most
+        return cell
+
+    return start
+
+
+MANY_TASKS = {"count": 16, "cpu": 500, "mem-mb": 16}
+
+
+# Guards against taking an attempt for vanished whose end a full list leaves out.
+def test_tasks_whose_ends_a_host_does_not_list_yet_run_once(
+    start_hubs_with_short_lists,
+):
+    cell = start_hubs_with_short_lists(hosts=1)
+    job = cell.submit(cell.leader(), MANY_TASKS, spec="run 1")
+    cell.until(lambda: len(cell.starts(job)) == 16, "not all tasks started")
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.BUSY
+    gevent.sleep(5.0)
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.OPEN
+    cell.wait_for(cell.leader(), job, "completed")
+    assert len(cell.starts(job)) == 16
+
+
+# Guards against freeing, after a take-over, tasks whose ends are not listed yet.
+def test_a_new_owner_waits_for_all_ends_before_it_frees_tasks(
+    start_hubs_with_short_lists,
+):
+    cell = start_hubs_with_short_lists(hosts=1)
+    job = cell.submit(cell.leader(), MANY_TASKS, spec="run 1.5")
+    cell.until(lambda: len(cell.starts(job)) == 16, "not all tasks started")
+    for hub in cell.hubs:
+        hub.kill()
+    cell.until(lambda: not cell.hosts[0].running(), "the tasks do not end")
+    for hub in cell.hubs:
+        hub.start()
+    cell.until(
+        lambda: cell.state(cell.hubs[0], job) == "completed", "not completed", 20.0
+    )
+    assert len(cell.starts(job)) == 16
+
+
 def test_a_task_on_a_silent_host_moves_after_the_lease_expires(start_hubs):
     cell = start_hubs()
     job = cell.submit(cell.leader(), spec="run 20")
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -3,7 +3,12 @@
 
 from primrosehub.core.batch import TaskId
 from primrosehub.core.resources import Resources
-from primrosehub.platform.hosts import decode_host, decode_task, encode_task
+from primrosehub.platform.hosts import (
+    decode_host,
+    decode_report,
+    decode_task,
+    encode_task,
+)
 from primrosehub.platform.operator import decode_config
 
 ENTRY = {
@@ -43,6 +48,13 @@
         decode_host("i-1", b"\xff\x00")
 
 
+@pytest.mark.parametrize(("ends", "complete"), [(0, True), (499, True), (500, False)])
+def test_a_report_with_as_many_ends_as_fit_may_leave_some_out(ends, complete):
+    rows = [[n + 1, f"5c0e7a21d94b36f8.0.0.{n}", 1, "done", ""] for n in range(ends)]
+    report = decode_report(orjson.dumps({"clock-ms": 1, "ended": rows}))
+    assert report.ends_complete is complete
+
+
 def test_a_task_name_decodes_to_the_task_it_was_encoded_from():
     task = TaskId("5c0e7a21d94b36f8", 2, 1, 17)
     assert encode_task(task) == "5c0e7a21d94b36f8.2.1.17"
