Apply a cancellation that the owner reads before its job

Cause, one of those possible: jobs and cancellations reach the owner by separate notices and feeds, and the owner dropped a cancellation of a job that it didn't know yet. The job then ran until the next owner read both.

Change: the book of jobs remembers such a cancellation and applies it when the job is added.

Measured: test_a_cancellation_that_precedes_its_job_is_applied_to_it and test_a_job_that_is_read_after_its_cancellation_never_starts failed before and pass; testing/hub/test_jobs.py and test_job_book.py pass.

--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -147,13 +147,15 @@
 
     ``open_steps`` are the steps that are not blocked and not done. ``dirty`` holds the
     ids of jobs whose progress is not stored yet. ``withheld`` holds the ids of jobs
-    whose stored progress is unreadable, which therefore must not run.
+    whose stored progress is unreadable, which therefore must not run. Jobs and
+    cancellations arrive independently, so a cancellation may precede its job.
     """
 
     def __init__(self, epoch: int) -> None:
         self._first_attempt = (epoch - 1) * ATTEMPTS_PER_EPOCH + 1
         self.jobs: dict[str, JobRun] = {}
         self.withheld: set[str] = set()
+        self._early_cancellations: set[str] = set()
         self.open_steps: dict[tuple[str, int, int], StepRun] = {}
         self.dirty: set[str] = set()
         self.used_by_team: dict[str, Resources] = {}
@@ -191,16 +193,20 @@
             for step in job.steps.values():
                 for task in step.tasks:
                     task.possibly_started = task.phase is TaskPhase.WAITING
+        if accepted.job in self._early_cancellations:
+            self._early_cancellations.discard(accepted.job)
+            self._cancel(job)
         return job
 
     def cancel(self, job_id: str) -> list[StopTask]:
         """Mark a job as cancelled; return the attempts to stop."""
         job = self.jobs.get(job_id)
-        if job is None or job.final:
+        if job is None:
+            self._early_cancellations.add(job_id)
             return []
-        job.cancelled = True
-        job.state = JobState.CANCELLED
-        self._close(job)
+        if job.final:
+            return []
+        self._cancel(job)
         return self._stops_for(job, "cancelled")
 
     def task(self, task_id: TaskId) -> TaskRun | None:
@@ -355,6 +361,11 @@
                 if not step.blockers:
                     self.open_steps[_key(step)] = step
 
+    def _cancel(self, job: JobRun) -> None:
+        job.cancelled = True
+        job.state = JobState.CANCELLED
+        self._close(job)
+
     def _discard(self, job: JobRun) -> None:
         del self.jobs[job.accepted.job]
         self.dirty.discard(job.accepted.job)
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -128,6 +128,9 @@
                     team=accepted.team,
                     weight=team.weight,
                 )
+        if job.cancelled:
+            log("job_cancelled_before_it_was_known", job=accepted.job)
+            self.progress.wake()
         if not at_take_over:
             self._confirm_requested.set()
         self.wake()
--- a/testing/hub/test_jobs.py
+++ b/testing/hub/test_jobs.py
@@ -3,7 +3,10 @@
 import gevent
 import orjson
 
+from primrosehub.border.codec import encode
+from primrosehub.kernel.clock import unix_ms
 from primrosehub_standins.hub_cell import PREFIX, follower
+from testing.builders.cluster import an_accepted_job
 
 
 def test_a_job_of_two_steps_runs_in_order(start_hubs):
@@ -46,6 +49,17 @@
     cell.wait_for(cell.leader(), late, "completed")
 
 
+# Guards against running a job whose cancellation the owner reads from the store first.
+def test_a_job_that_is_read_after_its_cancellation_never_starts(start_hubs):
+    cell = start_hubs()
+    accepted = an_accepted_job(job=cell.new_id(), at_ms=unix_ms())
+    cell.store.put_raw("cancel", "hub-0", accepted.job, b"{}")
+    gevent.sleep(0.6)  # until the owner has read it
+    cell.store.put_raw("job", "hub-0", accepted.job, encode(accepted))
+    cell.wait_for(cell.leader(), accepted.job, "cancelled")
+    assert cell.starts(accepted.job) == []
+
+
 def test_a_team_never_runs_more_than_its_limit(start_hubs):
     cell = start_hubs()
     limit = {"cpu": 2000}
--- a/testing/protocol/test_job_book.py
+++ b/testing/protocol/test_job_book.py
@@ -37,6 +37,16 @@
     assert set(book.open_steps) == {(JOB_ID, 0, 1)}
 
 
+# Guards against running a job whose cancellation reached the owner first.
+def test_a_cancellation_that_precedes_its_job_is_applied_to_it():
+    book = JobBook(1)
+    assert book.cancel(JOB_ID) == []
+    job = book.add(an_accepted_job(a_step(2)), a_queue(), None, 0.0, False)
+    assert job.state is JobState.CANCELLED
+    assert book.open_steps == {}
+    assert book.dirty == {JOB_ID}
+
+
 def test_a_job_fails_after_its_allowed_attempts_and_stops_the_rest():
     book = a_book(a_step(2), queue=a_queue(max_attempts=2))
     other = run(book, 1)
