Read the version to follow before the parts are listed again

A part that a new daemon began in between was in neither: its jobs were lost to this owner and its cancellations never applied. The start of a term reads in the right order.

Change: the version is read first. What comes in between is then read twice, which changes nothing.

--- a/src/primrosehub/services/_term_rows.py
+++ b/src/primrosehub/services/_term_rows.py
@@ -181,8 +181,9 @@
     def _reread(self, table: str, apply_row: Callable[[StoredRow], None]) -> int:
         while True:
             try:
-                parts = [""] if table == HOSTS_TABLE else self._term.store.parts(table)
+                # As at the start of a term, before the parts are listed.
                 version = self._term.store.read_part(HOSTS_TABLE, "").version
+                parts = [""] if table == HOSTS_TABLE else self._term.store.parts(table)
                 pages = [self._term.store.read_part(table, part) for part in parts]
             except StoreRefused:
                 gevent.sleep(RETRY_S)
--- a/testing/protocol/test_term_rows.py
+++ b/testing/protocol/test_term_rows.py
@@ -1,10 +1,11 @@
 from types import SimpleNamespace
 
+import gevent
 import pytest
 
 from primrosehub.border.codec import encode
 from primrosehub.border.hub_settings import Bounds
-from primrosehub.core.rows import RowKey, RowsPage, StoredRow
+from primrosehub.core.rows import HistoryLost, RowKey, RowsPage, StoredRow
 from primrosehub.kernel.clock import unix_ms
 from primrosehub.services._owner_term import OwnerTerm
 from primrosehub.services.names import METRICS
@@ -39,24 +40,64 @@
         return None
 
 
+class RowsOfAPartThatBegins:
+    """Begin the only part of a table right after its parts are listed."""
+
+    def __init__(self, job):
+        self._row = StoredRow(RowKey("job", PART, job.job), encode(job), 2)
+        self._begun = False
+        self._history_lost = True
+
+    def parts(self, table):
+        found = [PART] if self._begun else []
+        self._begun = True
+        return found
+
+    def read_part(self, table, part):
+        rows = (self._row,) if self._begun and table == "job" else ()
+        return RowsPage(rows, 2 if self._begun else 1)
+
+    def changes(self, table, after, wait_s):
+        if self._history_lost:
+            self._history_lost = False
+            raise HistoryLost
+        gevent.sleep(0.01)
+        return RowsPage((self._row,) if after < self._row.version else (), 2)
+
+
+def a_term(store, weight=100.0):
+    services = {
+        STORE: store,
+        OWNERSHIP: SimpleNamespace(),
+        CLUSTER_CONFIG: SimpleNamespace(current=a_cluster_config(weight=weight)),
+        ADVISING: FakeAdvising(),
+        METRICS: FakeMetrics(),
+    }
+    kernel = FakeKernel(services, SimpleNamespace(bounds=Bounds()))
+    return OwnerTerm(kernel, 2, FakeTasks())
+
+
 @pytest.fixture
 def take_over():
     def load(jobs, weight):
-        services = {
-            STORE: JobRows(jobs),
-            OWNERSHIP: SimpleNamespace(),
-            CLUSTER_CONFIG: SimpleNamespace(current=a_cluster_config(weight=weight)),
-            ADVISING: FakeAdvising(),
-            METRICS: FakeMetrics(),
-        }
-        kernel = FakeKernel(services, SimpleNamespace(bounds=Bounds()))
-        term = OwnerTerm(kernel, 2, FakeTasks())
+        term = a_term(JobRows(jobs), weight)
         term.rows.load()
         return term.book.jobs
 
     return load
 
 
+# Guards against missing a job or cancellation of a daemon that has just begun to store.
+def test_rows_of_a_part_that_begins_while_all_rows_are_read_again_are_found():
+    job = an_accepted_job()
+    term = a_term(RowsOfAPartThatBegins(job))
+    follower = gevent.spawn(term.rows._follow, "job", 0, term.rows._apply_job_row)
+    with gevent.Timeout(5.0, AssertionError("the job is not found")):
+        while job.job not in term.book.jobs:
+            gevent.sleep(0.01)
+    follower.kill()
+
+
 def test_jobs_within_their_teams_share_stay_so_after_a_take_over(take_over):
     # One job per second, in an order that differs from the order of the ids.
     began_ms = unix_ms() - 30_000
