Tell the owner of a cancellation until it is noted

Right after a take-over the notice went to the daemon that was the owner before, whose answer "not the owner" was dropped without a line, and only the store's feed was left, which may be late by seconds.

Change: a cancellation is told to the owner of the moment, up to ten times, until one has noted it. That a daemon is not the owner is logged.

Measured: test_a_cancellation_is_told_again_until_an_owner_has_noted_it failed before (told once) and passes; testing/hub/test_jobs.py passes.

--- a/src/primrosehub/services/intake.py
+++ b/src/primrosehub/services/intake.py
@@ -4,6 +4,8 @@
 
 from contextlib import ExitStack
 
+import gevent
+
 from primrosehub.border.codec import encode
 from primrosehub.border.stored_jobs import decode_progress, decode_stored_job
 from primrosehub.core.batch import (
@@ -21,6 +23,7 @@
     AskWaiting,
     JobCancelled,
     JobsAccepted,
+    Noted,
     PeerMessage,
     StateIs,
     WaitingIs,
@@ -52,6 +55,9 @@
 REFUSE_AFTER_S = 0.4
 ASK_OWNER_TIMEOUT_S = 0.6
 NOTIFY_OWNER_TIMEOUT_S = 0.5
+# A cancellation has to take effect within seconds, however late the feed is.
+CANCEL_NOTICE_ATTEMPTS = 10
+CANCEL_NOTICE_RETRY_S = 0.2
 KEEP_UNKNOWN_S = 60.0  # much longer than callers go on repeating a request
 MAX_COUNT_AGE_S = 1.5  # an older count of waiting jobs is not returned
 
@@ -124,7 +130,7 @@
             self._state_from_store(job_id, team)
         self._insert_once(CANCEL_TABLE, job_id, team, b"{}", wait_s)
         log("cancel_accepted", job=job_id, team=team)
-        self._tasks.spawn("tell-owner", self._notify_owner, JobCancelled(job_id))
+        self._tasks.spawn("tell-owner", self._notify_cancelled, JobCancelled(job_id))
 
     def waiting(self, host: str, path: str, secret: str | None, wait_s: float) -> int:
         """Return how many jobs of a queue have not started."""
@@ -280,10 +286,18 @@
         except PeerSilent:
             return None  # then the store or the last known count is used
 
-    def _notify_owner(self, message: JobsAccepted | JobCancelled) -> None:
+    def _notify_cancelled(self, message: JobCancelled) -> None:
+        """Notify the owner of the moment until one has noted the cancellation."""
+        for _ in range(CANCEL_NOTICE_ATTEMPTS):
+            if self._notify_owner(message):
+                return
+            gevent.sleep(CANCEL_NOTICE_RETRY_S)
+
+    def _notify_owner(self, message: JobsAccepted | JobCancelled) -> bool:
         """Notify the owner, so that it need not wait for the store's feed of changes.
 
-        The feed brings the change to the owner in any case.
+        The feed brings the change to the owner in any case. Return whether the owner
+        has noted it.
         """
         try:
             if self._ownership.is_owner:
@@ -292,9 +306,13 @@
                         self._scheduler.add_jobs(jobs)
                     case JobCancelled(job):
                         self._scheduler.cancel(job)
-            else:
-                self._peering.call(
-                    self._ownership.known_owner.name, message, NOTIFY_OWNER_TIMEOUT_S
-                )
+                return True
+            name = self._ownership.known_owner.name
+            answer = self._peering.call(name, message, NOTIFY_OWNER_TIMEOUT_S)
         except (PeerSilent, LookupError) as error:
             log("owner_not_told", reason=str(error))
+            return False
+        if answer != Noted():
+            log("owner_not_told", reason=f"{name} does not own the jobs")
+            return False
+        return True
--- a/testing/hub/test_jobs.py
+++ b/testing/hub/test_jobs.py
@@ -4,7 +4,9 @@
 import orjson
 
 from primrosehub.border.codec import encode
+from primrosehub.core.peering import JobCancelled, Noted, NotOwner
 from primrosehub.kernel.clock import unix_ms
+from primrosehub.services.names import cluster
 from primrosehub_standins.hub_cell import PREFIX, follower
 from testing.builders.cluster import an_accepted_job
 
@@ -60,6 +62,29 @@
     assert cell.starts(accepted.job) == []
 
 
+# Guards against a cancellation that is told to a daemon that does not own the jobs yet.
+def test_a_cancellation_is_told_again_until_an_owner_has_noted_it(start_hubs):
+    cell = start_hubs()
+    leader, other = cell.leader(), follower(cell)
+    job = cell.submit(leader, spec="run 9")
+    cell.until(lambda: cell.starts(job), "the job did not start")
+    told = []
+
+    def not_owner_at_first(message):
+        told.append(message)
+        if len(told) == 1:
+            return NotOwner()
+        leader.kernel.find(cluster.SCHEDULER).cancel(message.job)
+        return Noted()
+
+    peering = leader.kernel.find(cluster.PEERING)
+    peering.register_handler(JobCancelled, not_owner_at_first)
+    assert cell.call(other, "DELETE", PREFIX + job).status == 200
+    cell.until(lambda: len(told) == 2, "the owner is not told again")
+    gevent.sleep(0.5)
+    assert len(told) == 2
+
+
 def test_a_team_never_runs_more_than_its_limit(start_hubs):
     cell = start_hubs()
     limit = {"cpu": 2000}
