Confirm an ownership as of the request for its row

Found by reading, while looking for the causes of TWICE: a daemon that found its own name in the owner row counted the ownership as confirmed when the answer came. An answer may take two seconds, in which another may have taken over, so orders could go out for longer than the time that a new owner waits for (protocol rule 3). All other confirmations count from the request.

--- a/src/primrosehub/services/ownership.py
+++ b/src/primrosehub/services/ownership.py
@@ -419,6 +419,7 @@
         self._row = row
 
     def _reread(self) -> None:
+        sent = steady_s()
         stored = self._store.read_one(OWNER_KEY)
         row = _decode(stored)
         self._version = stored.version if stored else ABSENT
@@ -426,7 +427,7 @@
             log("owner_seen", epoch=row.epoch, owner=row.name, by="store")
         self._note_owner(row)
         if row.incarnation == self._peering.own_card.incarnation:
-            self._begin_term(steady_s())
+            self._begin_term(sent)
 
     def _take_over(self) -> None:
         if self._leading or self._released:
