Add a soak that runs the hub daemons as processes under drawn trouble

The faults of TWICE that the users saw on real processes had to be reproduced first, and the tests run all daemons in one process.

Change: primrosehub_standins/soak draws a plan from a seed (kills, stops, reloads, freezes, hosts that restart, a store that refuses, is slow or loses answers, a route that goes and comes back), runs the daemons of any checkout beside the stand-ins, and checks TWICE, UNASKED, REFUSED, ORDER, LIMIT, LOST and FAULT from the record of callers and hosts. A plan can be played again. A stand-in of a host notes acknowledgements and lapsed leases.

--- a/src/primrosehub_standins/worker_host.py
+++ b/src/primrosehub_standins/worker_host.py
@@ -43,6 +43,19 @@
     epoch: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Acknowledgement:
+    """Hold the acknowledgement of an end.
+
+    ``lapsed`` tells that the host's lease had lapsed between the end and this.
+    """
+
+    at: float
+    task: str
+    attempt: int
+    lapsed: bool
+
+
 @dataclass(slots=True)
 class _Run:
     task: str
@@ -79,9 +92,12 @@
     stop_s: float = STOP_S
     refusals: list[str] = field(default_factory=list)
     max_listed_ends: int = MAX_LISTED_ENDS
+    acknowledgements: list[Acknowledgement] = field(default_factory=list)
     requires_ticket: bool = False
     _runs: dict[str, _Run] = field(default_factory=dict)
     _ends: list[list[Any]] = field(default_factory=list)
+    _ended_at: dict[int, float] = field(default_factory=dict)
+    _lapsed_at: float = float("-inf")
     _last_end_number: int = 0
     _highest_attempt: dict[str, int] = field(default_factory=dict)
     _highest_token: int = 0
@@ -107,6 +123,7 @@
             self._record_event(run, "lost")
         self._runs.clear()
         self._ends.clear()
+        self._ended_at.clear()
         self._highest_attempt.clear()
         self._last_end_number = self._highest_token = self._lease_end_ms = 0
         self._born_at, self._born_ms = steady_s(), max(unix_ms(), self._born_ms + 1)
@@ -168,6 +185,7 @@
         running = self._runs.get(task)
         if running is not None and running.attempt == attempt:
             return "200 OK", {}
+        self._note_lapse()
         verb, _, seconds = body["spec"].partition(" ")
         if self.fail_all or self.hang_all:
             verb = "fail" if self.fail_all else "hang"
@@ -214,8 +232,9 @@
         if body["fencing-token"] < self._highest_token:
             return "409 Conflict", {"reason": "fence"}
         self._highest_token = body["fencing-token"]
+        self._note_lapse()
         self._extend_lease(body.get("deadline-ms", 0))
-        self._ends = [end for end in self._ends if end[0] > body["ack-cursor"]]
+        self._acknowledge(body["ack-cursor"])
         if not self._ends and body.get("wait-ms"):
             self._ended.wait(body["wait-ms"] / 1000)
         now = steady_s()
@@ -229,6 +248,18 @@
             "ended": self._ends[: self.max_listed_ends],
         }
 
+    def _note_lapse(self) -> None:
+        if 0 < self._lease_end_ms < self.clock_ms:
+            self._lapsed_at = self._born_at + self._lease_end_ms / 1000
+
+    def _acknowledge(self, highest_end: int) -> None:
+        for number, task, attempt, *_ in self._ends:
+            if number <= highest_end:
+                lapsed = self._lapsed_at > self._ended_at.pop(number)
+                acknowledgement = Acknowledgement(steady_s(), task, attempt, lapsed)
+                self.acknowledgements.append(acknowledgement)
+        self._ends = [end for end in self._ends if end[0] > highest_end]
+
     def _extend_lease(self, deadline_ms: int) -> None:
         latest_ms = self.clock_ms + MAX_LEASE_MS
         self._lease_end_ms = max(self._lease_end_ms, min(deadline_ms, latest_ms))
@@ -254,6 +285,7 @@
         self._ends.append(
             [self._last_end_number, run.task, run.attempt, end_kind, run.checkpoint]
         )
+        self._ended_at[self._last_end_number] = steady_s()
         self._record_event(run, end_kind)
         self._wake_waiters()
 
--- /dev/null
+++ b/testing/builders/soak.py
@@ -0,0 +1,39 @@
+"""Build records of a soak, and the plans of one."""
+
+from primrosehub_standins.soak.record import Disruption, Record, Run, SentJob
+
+JOB = "5c0e7a21d94b36f8"
+
+
+def a_sent_job(job=JOB, **fields):
+    values = {
+        "tasks": (1, 1),
+        "cpu_m": (1000, 1000),
+        "after": ((), (0,)),
+        "accepted_at": 0.0,
+        "state": "completed",
+    }
+    return SentJob(job, **(values | fields))
+
+
+def a_run(started_at=1.0, ended_at=2.0, how="done", step=0, host="i-0", **fields):
+    values = {"attempt": 1, "epoch": 1, "task": f"{JOB}.0.{step}.0"} | fields
+    return Run(host=host, started_at=started_at, ended_at=ended_at, how=how, **values)
+
+
+def a_disruption(began_at, ended_at, daemon="hub-0"):
+    return Disruption(daemon, began_at, ended_at, "killed")
+
+
+def a_record(*entries, **fields):
+    """Return a record of a job that holds all rules, changed by the entries."""
+    runs = [one for one in entries if isinstance(one, Run)]
+    jobs = [one for one in entries if isinstance(one, SentJob)] or [a_sent_job()]
+    return Record(
+        jobs={job.id: job for job in jobs},
+        runs=runs or [a_run(), a_run(2.5, 3.0, step=1)],
+        disruptions=[one for one in entries if isinstance(one, Disruption)],
+        owners={1: "hub-0", 2: "hub-1"},
+        capacity_m=8000,
+        **fields,
+    )
--- /dev/null
+++ b/testing/standins/test_soak.py
@@ -0,0 +1,135 @@
+import orjson
+import pytest
+from testing.builders.soak import JOB, a_disruption, a_record, a_run, a_sent_job
+
+from primrosehub_standins.soak.checker import find_breaches
+from primrosehub_standins.soak.main import EXIT_BAD_PLAN, soak
+from primrosehub_standins.soak.plan import (
+    KillOwner,
+    Plan,
+    draw_plan,
+    encode_plan,
+    read_plan,
+)
+
+CANCELLED = a_sent_job(cancel_sent=True, cancelled_at=1.0, state="cancelled")
+
+BROKEN = {
+    "TWICE": [
+        a_record(a_run(), a_run(1.5, 2.5, host="i-1", attempt=2)),
+        a_record(a_run(noted_at=9.0), a_run(3.0, 4.0, attempt=2)),
+    ],
+    "UNASKED": [
+        a_record(a_run(task="0000000000000000.0.0.0")),
+        a_record(a_run(), a_run(2.5, 3.0, step=2)),
+        a_record(CANCELLED, a_run(4.1, 5.0)),
+        a_record(CANCELLED, a_run(4.1, 5.0), a_disruption(0.5, 1.0)),
+        a_record(CANCELLED, a_run(4.1, 5.0), a_disruption(4.0, 5.0, "hub-1")),
+    ],
+    "REFUSED": [a_record(a_sent_job(accepted_at=None, rejected=True), a_run())],
+    "ORDER": [a_record(a_run(), a_run(1.9, 3.0, step=1))],
+    "LIMIT": [a_record(a_sent_job(cpu_m=(8001, 1)), a_run())],
+    "LOST": [
+        a_record(a_sent_job(state="410")),
+        a_record(a_sent_job(state="running")),
+        a_record(a_sent_job(state="failed")),
+    ],
+    "FAULT": [a_record(own_ends=["hub-0"]), a_record(memory_mb={"hub-0": 301.0})],
+}
+HOLDING = {
+    "TWICE": [
+        a_record(a_run(), a_run(2.0, 2.5, host="i-1", attempt=2)),
+        a_record(a_run(how="lost", noted_at=None), a_run(3.0, 4.0, attempt=2)),
+        a_record(a_run(), a_run(3.0, 4.0, attempt=2)),
+        a_record(a_run(noted_at=9.0, lapsed=True), a_run(3.0, 4.0, attempt=2)),
+        a_record(a_run(how="failed", noted_at=2.1), a_run(3.0, 4.0, attempt=2)),
+    ],
+    "UNASKED": [
+        a_record(CANCELLED, a_run(4.0, 5.0)),
+        a_record(CANCELLED, a_run(4.1, 5.0), a_disruption(0.5, 1.2)),
+        a_record(CANCELLED, a_run(4.1, 5.0), a_disruption(4.0, 5.0)),
+        a_record(CANCELLED, a_run(4.1, 5.0), a_disruption(4.0, 5.0, "")),
+    ],
+    "REFUSED": [a_record(a_sent_job(accepted_at=None), a_run())],
+    "ORDER": [a_record(a_run(), a_run(2.0, 3.0, step=1))],
+    "LIMIT": [
+        a_record(a_sent_job(cpu_m=(8000, 1)), a_run()),
+        a_record(a_sent_job(cpu_m=(8000, 8000)), a_run(), a_run(2.0, 3.0, step=1)),
+    ],
+    "LOST": [
+        a_record(a_sent_job(accepted_at=None, state="")),
+        a_record(a_sent_job(cancel_sent=True, state="cancelled")),
+    ],
+    "FAULT": [a_record(memory_mb={"hub-0": 300.0})],
+}
+
+
+@pytest.mark.parametrize(
+    ("rule", "record"), [(rule, one) for rule, ones in BROKEN.items() for one in ones]
+)
+def test_a_record_that_breaks_a_rule_is_found(rule, record):
+    assert {breach.rule for breach in find_breaches(record)} == {rule}
+
+
+@pytest.mark.parametrize(
+    ("rule", "record"), [(rule, one) for rule, ones in HOLDING.items() for one in ones]
+)
+def test_a_record_that_just_holds_a_rule_is_not_found(rule, record):
+    assert find_breaches(record) == []
+
+
+def test_a_breach_names_its_task():
+    record = a_record(a_run(), a_run(1.5, 2.5, host="i-1", attempt=2))
+    assert [breach.subject for breach in find_breaches(record)] == [f"{JOB}.0.0.0"]
+
+
+def test_a_seed_draws_the_same_plan_each_time():
+    assert draw_plan(7, 30.0) == draw_plan(7, 30.0)
+    assert draw_plan(7, 30.0) != draw_plan(8, 30.0)
+
+
+def test_a_plan_that_was_written_is_read_as_it_was(tmp_path):
+    plan = draw_plan(7, 60.0, daemons=5, hosts=12)
+    assert plan.troubles
+    (tmp_path / "plan.json").write_bytes(encode_plan(plan))
+    assert read_plan(tmp_path / "plan.json") == plan
+
+
+@pytest.mark.parametrize(
+    ("change", "words"),
+    [
+        ({"seconds": 99_999}, "seconds: Input should be less than or equal to 3600"),
+        ({"jobs": 3}, "jobs: "),
+        ({"troubles": [{"kind": "flood", "at_s": 1}]}, "troubles.0: "),
+        ({"troubles": [{"kind": "kill-owner", "at_s": 1}]}, "for_s: Field required"),
+        (
+            {"troubles": [{"kind": "stop-daemon", "at_s": 1, "daemon": 3}]},
+            "troubles.0.daemon: must be less than 3",
+        ),
+    ],
+)
+def test_a_plan_that_can_not_be_played_is_rejected_in_one_line(
+    tmp_path, capsys, change, words
+):
+    path = tmp_path / "plan.json"
+    path.write_bytes(orjson.dumps({"seed": 1, "seconds": 5.0} | change))
+    assert soak(plan=path) == EXIT_BAD_PLAN
+    (line,) = capsys.readouterr().err.splitlines()
+    assert line.startswith(f"{path}: ")
+    assert words in line
+
+
+def test_a_missing_plan_and_a_size_beyond_its_bounds_are_rejected(tmp_path, capsys):
+    assert soak(plan=tmp_path / "none.json") == EXIT_BAD_PLAN
+    assert soak(daemons=41) == EXIT_BAD_PLAN
+    missing, beyond = capsys.readouterr().err.splitlines()
+    assert missing.endswith("No such file or directory")
+    assert beyond.startswith("daemons: ")
+
+
+def test_no_system_of_another_place_is_started_for_a_bad_plan(tmp_path):
+    plan = Plan(1, 5.0, daemons=1, troubles=(KillOwner(1.0, 11.0),))
+    (tmp_path / "plan.json").write_bytes(encode_plan(plan))
+    out = tmp_path / "out"
+    assert soak(plan=tmp_path / "plan.json", out=out) == EXIT_BAD_PLAN
+    assert not out.exists()
