--- a/testing/hub/test_stop.py
+++ b/testing/hub/test_stop.py
@@ -7,10 +7,12 @@
 import time
 from contextlib import ExitStack
 from dataclasses import dataclass
+from pathlib import Path
 
 import gevent
 import pytest
 
+import primrosehub
 from primrosehub.services.names import cluster
 from primrosehub_standins.hub_cell import HOST_NAME, PREFIX, HubCell
 from primrosehub_standins.row_store import EndpointState, StoreEndpoint
@@ -307,3 +309,22 @@
 def test_a_stop_ends_within_a_grace_period_of_two_seconds(start_process):
     daemon = start_process(grace_s=2.0)
     assert daemon.exits_by(daemon.terminate() + 2.0)
+
+
+# Guards against a daemon that ends because its settings change while it starts.
+def test_a_reload_while_a_daemon_imports_its_modules_does_not_end_it(tmp_path):
+    (tmp_path / "gevent.py").write_text(
+        "import os, signal\n"
+        "os.kill(os.getpid(), signal.SIGHUP)\n"
+        "print('still here', flush=True)\n"
+        "os._exit(0)\n"
+    )
+    source = Path(primrosehub.__file__).parent.parent
+    result = subprocess.run(
+        [sys.executable, str(source / "hub_main.py")],
+        env={"PYTHONPATH": str(tmp_path)},
+        capture_output=True,
+        timeout=30,
+        check=False,
+    )
+    assert (result.returncode, result.stdout) == (0, b"still here\n")
