Judge whether a task is stuck by how long a percent takes it

Cause: a percent that stays the same for 1.8 s counted as stuck, and hosts report whole percents. Ruled out: the lease and the host, which was sound.

Change: the time allowed follows the attempt's own pace, before that the estimate with an error of ten times, and doubles with each attempt that was stopped as stuck. Estimates up to 6 s keep the limit of 1.8 s.

--- a/src/primrosehub/core/fleet.py
+++ b/src/primrosehub/core/fleet.py
@@ -56,7 +56,7 @@
     task: TaskId
     attempt: int
     checkpoint: str
-    percent: int
+    percent: float
     usage: int = 0
 
 
--- a/src/primrosehub/platform/hosts.py
+++ b/src/primrosehub/platform/hosts.py
@@ -306,9 +306,7 @@
 def _decode_running(
     task: str, attempt: int, checkpoint: str, percent: float, usage: float = 0
 ) -> RunningAttempt:
-    return RunningAttempt(
-        decode_task(task), attempt, checkpoint, int(percent), int(usage)
-    )
+    return RunningAttempt(decode_task(task), attempt, checkpoint, percent, int(usage))
 
 
 def _decode_ended(
--- a/src/primrosehub/policy/host_pace.py
+++ b/src/primrosehub/policy/host_pace.py
@@ -42,7 +42,7 @@
     return pace.mean - fleet_mean if pace.attempts >= MIN_ATTEMPTS else 0.0
 
 
-def remaining_s(elapsed_s: float, percent: int, estimate_s: float) -> float:
+def remaining_s(elapsed_s: float, percent: float, estimate_s: float) -> float:
     """Return an attempt's remaining time by its progress, or else by its estimate."""
     if percent > 0 and elapsed_s > 0:
         return elapsed_s * (100 - percent) / percent
--- a/src/primrosehub/policy/host_trust.py
+++ b/src/primrosehub/policy/host_trust.py
@@ -51,8 +51,44 @@
 
 
 STUCK_AFTER_S = 1.8  # longer than the report interval and a task's startup
-
-
-def is_stuck(now: float, percent_at: float, percent: int) -> bool:
-    """Tell whether a running attempt has made no progress for too long."""
-    return percent < 100 and now - percent_at > STUCK_AFTER_S
+REPORT_INTERVAL_S = 1.2  # at most, between two reports of a host on which nothing ends
+MAX_ESTIMATE_ERROR = 10.0  # estimates are rough; a task may take ten times as long
+MAX_SLOWDOWN = 4.0  # of a task beside others, against its own pace so far
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """Hold the progress of a running attempt.
+
+    ``percent`` was reached ``reached_s`` after the first report, which told
+    ``first_percent``, and has not changed for ``unchanged_s``. ``stuck_before`` counts
+    the attempts of the task that were stopped as stuck.
+    """
+
+    percent: float
+    first_percent: float
+    reached_s: float
+    unchanged_s: float
+    estimate_s: float
+    stuck_before: int = 0
+
+
+def is_stuck(progress: Progress) -> bool:
+    """Tell whether a running attempt has made no progress for too long.
+
+    Progress is reported in whole percents, so the time allowed grows with that of a
+    percent: by the attempt's own pace once it is known, by the estimate before. It
+    doubles with each attempt that was stopped, so that a task of any length gets on in
+    the end.
+    """
+    if progress.percent >= 100:
+        return False
+    # The first percent may have been reached just before the first report.
+    gained_in_sight = progress.percent - progress.first_percent - 1
+    if gained_in_sight > 0:
+        percent_s = MAX_SLOWDOWN * progress.reached_s / gained_in_sight
+    else:
+        percent_s = MAX_ESTIMATE_ERROR * progress.estimate_s / 100
+    limit_s = max(STUCK_AFTER_S, percent_s + REPORT_INTERVAL_S)
+    limit_s *= 2.0**progress.stuck_before
+    return progress.unchanged_s > limit_s
--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -43,7 +43,8 @@
     ``host`` is set while an attempt may use resources on that host.
     ``possibly_started`` is set while an attempt of an earlier owner may be running on a
     host that has not reported yet. ``missing`` counts the host's consecutive reports
-    without the started attempt. Times are on this owner's monotonic clock.
+    without the started attempt, ``stuck_attempts`` the attempts that this owner has
+    stopped as stuck. Times are on this owner's monotonic clock.
     """
 
     id: TaskId
@@ -56,9 +57,11 @@
     failed_on: set[str] = field(default_factory=set)
     possibly_started: bool = False
     started_at: float = 0.0
-    percent: int = 0
+    percent: float = 0
     percent_at: float = 0.0
-    first_percent: int = -1
+    first_percent: float = -1
+    first_percent_at: float = 0.0
+    stuck_attempts: int = 0
     resumed: bool = False
     stop_answered_at: float | None = None
     missing: int = 0
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -193,7 +193,7 @@
         self.book.bind(task, session.host, run.attempt, TaskPhase.RUNNING)
         session.assigned_tasks[task] = None
         now = steady_s()
-        task.started_at = task.percent_at = now
+        task.started_at = task.percent_at = task.first_percent_at = now
         task.percent = task.first_percent = run.percent
         if run.checkpoint:
             task.checkpoint = run.checkpoint
--- a/src/primrosehub/services/_reports.py
+++ b/src/primrosehub/services/_reports.py
@@ -13,7 +13,7 @@
 )
 from primrosehub.core.logs import log
 from primrosehub.kernel.clock import steady_s
-from primrosehub.policy.host_trust import is_stuck
+from primrosehub.policy.host_trust import Progress, is_stuck
 from primrosehub.services._host_session import HostSession
 from primrosehub.services._job_book import (
     TaskPhase,
@@ -157,17 +157,29 @@
         keep_checkpoint(task, run.checkpoint)
     if run.percent != task.percent or task.first_percent < 0:
         if task.first_percent < 0:
-            task.first_percent = run.percent
+            task.first_percent, task.first_percent_at = run.percent, now
         task.percent, task.percent_at = run.percent, now
     if task.phase is TaskPhase.STARTING:
         task.phase = TaskPhase.RUNNING
     can_be_stuck = task.phase is TaskPhase.RUNNING and not task.step.spec.long_running
-    if can_be_stuck and is_stuck(now, task.percent_at, task.percent):
+    if can_be_stuck and is_stuck(_progress_of(task, now)):
+        task.stuck_attempts += 1
         session.trust.note_stuck(now)
         log("attempt_stuck", job=task.id.job, host=session.host, percent=task.percent)
         term.stop(task, "stuck")
 
 
+def _progress_of(task: TaskRun, now: float) -> Progress:
+    return Progress(
+        percent=task.percent,
+        first_percent=task.first_percent,
+        reached_s=task.percent_at - task.first_percent_at,
+        unchanged_s=now - task.percent_at,
+        estimate_s=task.step.spec.estimate_s,
+        stuck_before=task.stuck_attempts,
+    )
+
+
 def _process_absent(
     term: OwnerTerm, session: HostSession, task: TaskRun, sent_at: float
 ) -> None:
--- a/testing/hub/test_hosts.py
+++ b/testing/hub/test_hosts.py
@@ -187,6 +187,17 @@
         cell.wait_for(cell.leader(), job, "completed")
 
 
+# Guards against stopping a long task, whose percent stays the same for seconds.
+def test_a_long_task_is_not_taken_for_stuck(start_hubs):
+    cell = start_hubs(hosts=1)
+    step = {"count": 1, "cpu": 1000, "estimated-runtime-ms": 400_000}
+    job = cell.submit(cell.leader(), step, spec="run 400")
+    cell.until(lambda: cell.starts(job), "the job did not start")
+    gevent.sleep(7.0)
+    assert len(cell.starts(job)) == 1
+    assert cell.hosts[0].running()
+
+
 def test_a_task_without_progress_is_moved(start_hubs):
     cell = start_hubs(hosts=2)
     cell.hosts[0].hang_all = True
