Store with a job how many attempts its queue allows

Cause: an owner that finds a job without its queue took one attempt as the limit. Ruled out: attempts counted twice; one end was stored.

Change: the row of a job holds the limit of its submission, which counts while the queue isn't known. Old and new builds read each other's rows.

--- a/src/primrosehub/border/stored_jobs.py
+++ b/src/primrosehub/border/stored_jobs.py
@@ -31,6 +31,7 @@
     if accepted.job != job or not JOB_ID.fullmatch(job):
         raise ValueError(f"id: the row of {job!r:.60} holds {accepted.job!r:.60}")
     _check_range("accepted_ms", accepted.accepted_ms, MAX_TIME_MS)
+    _check_range("max_attempts", accepted.max_attempts, MAX_AMOUNT)
     _check_spec(accepted.spec)
     return accepted
 
--- a/src/primrosehub/core/batch.py
+++ b/src/primrosehub/core/batch.py
@@ -62,7 +62,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AcceptedJob:
-    """Hold an accepted job as stored; ``accepted_ms`` is a Unix time."""
+    """Hold an accepted job as stored; ``accepted_ms`` is a Unix time.
+
+    ``max_attempts`` is that of the queue at the time; rows of older builds lack it.
+    """
 
     job: str
     team: str
@@ -70,6 +73,7 @@
     service: str
     accepted_ms: int
     spec: BatchSpec
+    max_attempts: int = 0
 
 
 class JobState(StrEnum):
--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -131,6 +131,16 @@
     stored_at: float = 0.0
     end_reported: bool = False
 
+    @property
+    def max_attempts(self) -> int:
+        """Return after how many failed attempts of a task the job fails.
+
+        Without its queue, this is as it was when the job was submitted.
+        """
+        if self.queue is not None:
+            return self.queue.max_attempts
+        return max(1, self.accepted.max_attempts)
+
     @property
     def final(self) -> bool:
         """Return whether no more tasks of the job are to be started."""
@@ -290,10 +300,9 @@
             member.failed_on.add(host)
         job = step.job
         self.dirty.add(job.accepted.job)
-        limit = job.queue.max_attempts if job.queue else 1
         if (
             step.spec.long_running
-            or len(counted_task.failed_attempts) < limit
+            or len(counted_task.failed_attempts) < job.max_attempts
             or job.final
         ):
             return []
--- a/src/primrosehub/services/intake.py
+++ b/src/primrosehub/services/intake.py
@@ -92,7 +92,15 @@
         """Store a job once."""
         queue, team, job_id = self._authorize(host, path, secret)
         self._require_job_id(job_id)
-        accepted = AcceptedJob(job_id, team, queue.name, queue.service, unix_ms(), spec)
+        accepted = AcceptedJob(
+            job=job_id,
+            team=team,
+            queue=queue.name,
+            service=queue.service,
+            accepted_ms=unix_ms(),
+            spec=spec,
+            max_attempts=queue.max_attempts,
+        )
         started_at = steady_s()
         stored = self._insert_job(accepted, wait_s)
         log(
--- a/testing/hub/test_owners.py
+++ b/testing/hub/test_owners.py
@@ -278,6 +278,22 @@
     assert not ownership.may_order(epoch - 1)
 
 
+# Guards against failing a job early because its route is away at a take-over.
+def test_a_job_keeps_its_attempts_while_its_route_is_away(start_hubs):
+    cell = start_hubs(hubs=3)
+    job = cell.submit(cell.leader(), spec="fail 1")
+    cell.until(lambda: cell.starts(job), "the job did not start")
+    cell.configure(routes=[cell.route("others")])
+    cell.leader().kill()
+    cell.leader()
+    cell.until(lambda: len(cell.starts(job)) == 2, "the task is not started again")
+    cell.configure()
+    cell.until(
+        lambda: cell.state(cell.leader(), job) == "failed", "the job has not failed"
+    )
+    assert len(cell.starts(job)) == 3
+
+
 def test_a_failure_listed_again_to_a_new_owner_counts_once(start_hubs):
     cell = start_hubs(hubs=3)
     leader = cell.leader()
--- a/testing/protocol/test_job_book.py
+++ b/testing/protocol/test_job_book.py
@@ -1,3 +1,7 @@
+from dataclasses import replace
+
+import pytest
+
 from primrosehub.border.codec import decode, encode
 from primrosehub.core.batch import JobProgress, JobState
 from primrosehub.core.fleet import EndKind
@@ -57,6 +61,21 @@
     assert not book.open_steps
 
 
+# Guards against failing a job early because its route is away at a take-over.
+@pytest.mark.parametrize(("accepted_with", "allowed"), [(3, 3), (0, 1)])
+def test_a_job_without_its_queue_has_the_attempts_it_was_submitted_with(
+    accepted_with, allowed
+):
+    book = JobBook(1)
+    accepted = replace(an_accepted_job(), max_attempts=accepted_with)
+    job = book.add(accepted, None, None, 0.0, True)
+    for _ in range(allowed - 1):
+        end(book, run(book), EndKind.FAILED)
+        assert job.state is JobState.QUEUED
+    end(book, run(book), EndKind.FAILED)
+    assert job.state is JobState.FAILED
+
+
 def test_a_failure_listed_again_after_a_take_over_counts_once():
     book = a_book(queue=a_queue(max_attempts=2))
     task = run(book)
