Give other tasks turns while a term loads its rows

Cause: the daemon that takes over decoded all rows in one turn, answered no pings for more than a second, and was taken for lost; so was each one after it. Ruled out: the store, which answered; memory, 265 of 300 MB.

Change: rows are decoded in turns of 100, pages are dropped once decoded, and what concerns unfinished jobs goes through these only.

--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -158,7 +158,8 @@
 class JobBook:
     """Hold all jobs that the owner knows.
 
-    ``open_steps`` are the steps that are not blocked and not done. ``dirty`` holds the
+    ``unfinished`` are those of the jobs that are not final. ``open_steps`` are the
+    steps that are not blocked and not done. ``dirty`` holds the
     ids of jobs whose progress is not stored yet. ``withheld`` holds the ids of jobs
     whose stored progress is unreadable, which therefore must not run. Jobs and
     cancellations arrive independently, so a cancellation may precede its job.
@@ -167,6 +168,7 @@
     def __init__(self, epoch: int) -> None:
         self._first_attempt = (epoch - 1) * ATTEMPTS_PER_EPOCH + 1
         self.jobs: dict[str, JobRun] = {}
+        self.unfinished: dict[str, JobRun] = {}
         self.withheld: set[str] = set()
         self._early_cancellations: set[str] = set()
         self.open_steps: dict[tuple[str, int, int], StepRun] = {}
@@ -195,6 +197,7 @@
         if progress is not None and progress.state in FINAL_STATES:
             job.state = job.visible_state = progress.state
             return job
+        self.unfinished[accepted.job] = job
         self._add_steps(job)
         if progress is not None:
             try:
@@ -331,9 +334,7 @@
     def settle(self) -> list[StopTask]:
         """Free tasks that no host runs; call this once all hosts have reported."""
         stops = []
-        for job in self.jobs.values():
-            if job.final:
-                continue
+        for job in self.unfinished.values():
             for step in job.steps.values():
                 for task in step.tasks:
                     task.possibly_started = False
@@ -344,15 +345,15 @@
         """Return how many jobs of a queue have not started."""
         return sum(
             1
-            for job in self.jobs.values()
-            if not job.has_started and not job.final and job.accepted.queue == queue
+            for job in self.unfinished.values()
+            if not job.has_started and job.accepted.queue == queue
         )
 
     def waiting_since(self) -> dict[str, list[float]]:
         """Return by queue when its jobs that have not started were submitted."""
         waiting: dict[str, list[float]] = {}
-        for job in self.jobs.values():
-            if not job.has_started and not job.final:
+        for job in self.unfinished.values():
+            if not job.has_started:
                 waiting.setdefault(job.accepted.queue, []).append(job.submitted_at)
         return waiting
 
@@ -380,6 +381,7 @@
 
     def _discard(self, job: JobRun) -> None:
         del self.jobs[job.accepted.job]
+        self.unfinished.pop(job.accepted.job, None)
         self.dirty.discard(job.accepted.job)
         for step in job.steps.values():
             self.open_steps.pop(_key(step), None)
@@ -417,6 +419,7 @@
 
     def _close(self, job: JobRun) -> None:
         self.dirty.add(job.accepted.job)
+        self.unfinished.pop(job.accepted.job, None)
         for step in job.steps.values():
             self.open_steps.pop(_key(step), None)
 
--- a/src/primrosehub/services/_term_rows.py
+++ b/src/primrosehub/services/_term_rows.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable, Iterator
+from typing import TYPE_CHECKING, TypeVar
 
 import gevent
 
@@ -35,6 +35,7 @@
 if TYPE_CHECKING:
     from primrosehub.services._owner_term import OwnerTerm
 
+T = TypeVar("T")
 FEED_WAIT_S = 2.0  # how long the store waits for a change before it answers
 RETRY_S = 0.2
 # Each call to the store has a cost, so changes are fetched in batches. The delay does
@@ -42,6 +43,7 @@
 # new jobs directly.
 FEED_PAUSE_S = 0.2
 MAX_LOGGED_KEY_CHARS = 80
+ROWS_PER_TURN = 100  # decoded before pings and callers get a turn, some milliseconds
 
 
 class TermRows:
@@ -79,7 +81,7 @@
             "term_loaded",
             epoch=self._term.epoch,
             jobs=len(self._term.book.jobs),
-            open=sum(not job.final for job in self._term.book.jobs.values()),
+            open=len(self._term.book.unfinished),
             hosts=len(self._term.sessions),
             took_s=round(steady_s() - began, 3),
         )
@@ -94,16 +96,17 @@
     def _apply_loaded(
         self, pages: dict[tuple[str, str], RowsPage], roster: StoredRow | None
     ) -> None:
-        progress = self._decode_all_progress(pages[(PROGRESS_TABLE, OWNER_PART)])
+        # Pages are dropped once they are decoded, as they are the most of the memory.
+        progress = self._decode_all_progress(pages.pop((PROGRESS_TABLE, OWNER_PART)))
         jobs = [
             job
-            for (table, _), page in pages.items()
-            if table == JOB_TABLE
-            for row in page.rows
+            for key in [key for key in pages if key[0] == JOB_TABLE]
+            for row in _in_turns(pages.pop(key).rows)
             if (job := self._decode_job(row)) is not None
         ]
         # Jobs count against their teams' shares in the order of submission.
-        for job in sorted(jobs, key=lambda job: job.accepted_ms):
+        jobs.sort(key=lambda job: job.accepted_ms)
+        for job in _in_turns(jobs):
             self._add_loaded_job(job, progress.get(job.job))
         for (table, _), page in pages.items():
             if table == CANCEL_TABLE:
@@ -115,7 +118,7 @@
     def _decode_all_progress(self, page: RowsPage) -> dict[str, JobProgress]:
         """Return the progress of each job; withhold those whose row is unreadable."""
         progress: dict[str, JobProgress] = {}
-        for row in page.rows:
+        for row in _in_turns(page.rows):
             try:
                 progress[row.key.key] = decode_progress(row.value)
             except ValueError as error:
@@ -268,3 +271,14 @@
             version=row.version,
             reason=str(error)[:200] or repr(error),
         )
+
+
+def _in_turns(items: Iterable[T]) -> Iterator[T]:
+    """Yield the items, with a turn for other tasks after every few.
+
+    A daemon that answers no pings while it loads would be taken for lost.
+    """
+    for number, item in enumerate(items, start=1):
+        yield item
+        if number % ROWS_PER_TURN == 0:
+            gevent.sleep(0)
--- a/testing/protocol/test_term_rows.py
+++ b/testing/protocol/test_term_rows.py
@@ -8,6 +8,7 @@
 from primrosehub.core.rows import HistoryLost, RowKey, RowsPage, StoredRow
 from primrosehub.kernel.clock import unix_ms
 from primrosehub.services._owner_term import OwnerTerm
+from primrosehub.services._term_rows import ROWS_PER_TURN
 from primrosehub.services.names import METRICS
 from primrosehub.services.names.cluster import (
     ADVISING,
@@ -87,6 +88,23 @@
     return load
 
 
+# Guards against a daemon that answers no pings while it loads the rows of a long day.
+def test_other_tasks_get_turns_while_a_term_loads():
+    jobs = [an_accepted_job(job=f"{number:016x}") for number in range(1000)]
+    term = a_term(JobRows(jobs))
+    turns = []
+
+    def take_turns():
+        while True:
+            turns.append(len(term.book.jobs))
+            gevent.sleep(0)
+
+    other = gevent.spawn(take_turns)
+    term.rows.load()
+    other.kill()
+    assert len({jobs for jobs in turns if 0 < jobs < 1000}) >= 1000 // ROWS_PER_TURN - 1
+
+
 # Guards against missing a job or cancellation of a daemon that has just begun to store.
 def test_rows_of_a_part_that_begins_while_all_rows_are_read_again_are_found():
     job = an_accepted_job()
