--- a/src/primrosehub_standins/soak/cell.py
+++ b/src/primrosehub_standins/soak/cell.py
@@ -19,6 +19,7 @@
 from primrosehub_standins.row_store import EndpointState, StoreEndpoint
 from primrosehub_standins.soak.plan import (
     ALL_DAEMONS,
+    CutHost,
     FreezeDaemon,
     KillDaemon,
     KillOwner,
@@ -243,6 +244,11 @@
                 host.lose_power()
                 gevent.sleep(for_s)
                 host.silent = False
+            case CutHost(host=number, for_s=for_s):
+                host = self.cell.hosts[number]
+                host.silent = True
+                gevent.sleep(for_s)
+                host.silent = False
             case RefuseStoreCalls(daemon=number, for_s=for_s, how=how):
                 self._refuse_store_calls(number, for_s, _STORE_STATES[how])
             case SlowStore(for_s=for_s, answer_s=answer_s):
--- a/src/primrosehub_standins/soak/clients.py
+++ b/src/primrosehub_standins/soak/clients.py
@@ -20,7 +20,7 @@
 MAX_CANCEL_ATTEMPTS = 10
 CANCEL_AFTER_S = (None, None, 0.0, 0.05, 0.5, 2.0, 4.0)
 _ACCEPTED, _REJECTED, _CANCELLED = (200,), (404, 429, 503), (200, 410)
-_ENDS_IN_TIME = ("run 0.1", "run 0.4", "run 1", "run 3")
+_ENDS_IN_TIME = ("run 0.1", "run 0.4", "run 1", "run 3", "run 6")
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosehub_standins/soak/plan.py
+++ b/src/primrosehub_standins/soak/plan.py
@@ -87,6 +87,16 @@
     kind: Literal["restart-host"] = "restart-host"
 
 
+@dataclass(frozen=True, slots=True)
+class CutHost(_Strict):
+    """Let a worker host receive nothing for a time, while its tasks run on."""
+
+    at_s: Moment
+    host: HostNumber
+    for_s: Duration
+    kind: Literal["cut-host"] = "cut-host"
+
+
 @dataclass(frozen=True, slots=True)
 class RefuseStoreCalls(_Strict):
     """Let the store refuse, ignore or disconnect a daemon, or all with number -1."""
@@ -133,6 +143,7 @@
     | ReloadDaemon
     | FreezeDaemon
     | RestartHost
+    | CutHost
     | RefuseStoreCalls
     | SlowStore
     | LoseStoreAnswers
@@ -182,6 +193,8 @@
             RestartHost(at_s, host, for_s),
             RestartHost(at_s, host, min(for_s, 0.5)),
             RestartHost(at_s, (host + 1) % hosts, for_s),
+            CutHost(at_s, host, choices.choice((2.0, 4.5, 8.0))),
+            CutHost(at_s, (host + 2) % hosts, choices.choice((4.5, 8.0))),
             KillOwner(at_s, min(for_s, 1.0)),
             KillDaemon(at_s, daemon, min(for_s, 1.0)),
             KillDaemon(at_s, ALL_DAEMONS, min(for_s, 2.0)),
