Log what confirms an ownership, and suspensions of a daemon

Cause: no line tells why an owner without the store went on sending orders, so an owner cut off with a peer, one with old news and one that was suspended look alike. Change: ownership_confirmed by=store, peers or nobody at each change, daemon_suspended, the unreached hosts of term_settled, and a gauge.

--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -255,6 +255,9 @@
         self._check_settled()
         self.progress.wake()
 
+    def _unreached_hosts(self) -> list[str]:
+        return [host for host, one in self.sessions.items() if not one.reached]
+
     def _confirm_new_jobs(self) -> None:
         """Confirm the ownership after new jobs arrive, before they start."""
         while True:
@@ -319,7 +322,13 @@
         if all_known:
             self.settled = True
             stops = self.book.settle()
-            log("term_settled", epoch=self.epoch, overdue=overdue, stops=len(stops))
+            log(
+                "term_settled",
+                epoch=self.epoch,
+                overdue=overdue,
+                stops=len(stops),
+                unreached=",".join(sorted(self._unreached_hosts())),
+            )
             for stop in stops:
                 self.stop(stop.task, stop.reason)
             self.wake()
--- a/src/primrosehub/services/ownership.py
+++ b/src/primrosehub/services/ownership.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Sequence
 from contextlib import ExitStack
 from dataclasses import replace
 
@@ -82,6 +83,7 @@
         self._version = ABSENT
         self._leading = False
         self._confirmed_at = float("-inf")
+        self._logged_confirmation = (0, "")
         self._owner_heard_at = float("-inf")
         self._owner_known_since = steady_s()
         self._owner_status: OwnerStatus = OwnerAlive()
@@ -129,11 +131,15 @@
         if not self._leading or epoch != self._row.epoch:
             return False
         if steady_s() - self._confirmed_at < CONFIRMATION_VALID_S:
+            self._note_confirmed_by("store")
             return True
-        return any(
-            pong.owner.epoch <= self._row.epoch
+        peers = [
+            pong.sender.name
             for pong in self._peering.recent_pongs(CONFIRMATION_VALID_S)
-        )
+            if pong.owner.epoch <= self._row.epoch
+        ]
+        self._note_confirmed_by("peers" if peers else "nobody", peers)
+        return bool(peers)
 
     def start(self, stack: ExitStack) -> None:
         """Start to monitor the owner and this daemon's processor."""
@@ -192,6 +198,20 @@
         """Let ``release`` return now unless this daemon is the owner."""
         self._standing_by = False
 
+    def _note_confirmed_by(self, source: str, peers: Sequence[str] = ()) -> None:
+        """Log it if something else confirms the ownership than before."""
+        if (self._row.epoch, source) == self._logged_confirmation:
+            return
+        self._logged_confirmation = (self._row.epoch, source)
+        self._metrics.gauge("ownership_confirmed_by_store", source == "store")
+        log(
+            "ownership_confirmed",
+            epoch=self._row.epoch,
+            by=source,
+            by_store_s=round(steady_s() - self._confirmed_at, 3),
+            peers=",".join(peers),
+        )
+
     def _goes_on(self) -> bool:
         """Return whether this leaving daemon remains the owner or may become it."""
         leaving = self._leaving()
@@ -257,7 +277,11 @@
 
     def _watch_processor_speed(self) -> None:
         while True:
+            slept_at = steady_s()
             gevent.sleep(SPEED_CHECK_INTERVAL_S)
+            slept_s = steady_s() - slept_at
+            if slept_s > SPEED_CHECK_INTERVAL_S + SUSPENSION_THRESHOLD_S:
+                log("daemon_suspended", for_s=round(slept_s, 3), leading=self._leading)
             was_slow = self._slow_detector.slow
             self._slow_detector.note(
                 min(_time_fixed_work() for _ in range(SPEED_CHECK_REPEATS))
