--- a/src/primrosehub/services/peering.py
+++ b/src/primrosehub/services/peering.py
@@ -131,7 +131,7 @@
         self._watched_peer = ""
         self._pong_heard = Event()
         self._handlers: dict[type, Callable[..., PeerMessage]] = {
-            Ping: self._handle_ping,
+            Ping: self.answer_ping,
             AskMembers: lambda _: MembersAre(tuple(self._all_cards())),
         }
 
@@ -241,7 +241,8 @@
             "slow": self._ownership.slow,
         }
 
-    def _handle_ping(self, ping: Ping) -> Pong:
+    def answer_ping(self, ping: Ping) -> Pong:
+        """Record a peer's news and return this daemon's."""
         self._record_pong(
             Pong(
                 ping.sender,
--- a/src/primrosehub_standins/hub_cell.py
+++ b/src/primrosehub_standins/hub_cell.py
@@ -10,6 +10,7 @@
 import os
 import random
 import socket
+from collections.abc import Callable
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from typing import Any
@@ -20,13 +21,23 @@
 from primrosehub.binaries.hub import MANIFEST, leave
 from primrosehub.border.http_client import HttpEndpoint, Response
 from primrosehub.border.hub_settings import HubSettings
+from primrosehub.core.peering import PeerMessage, Ping
 from primrosehub.kernel import Kernel
 from primrosehub.kernel.clock import steady_s
 from primrosehub.services.names import cluster
+from primrosehub.services.peering import PING_TIMEOUT_S
 from primrosehub_standins.advice import AdviceRecord, AdviceStandin
-from primrosehub_standins.row_store import RowStoreStandin, StoreEndpoint
+from primrosehub_standins.row_store import (
+    EndpointState,
+    RowStoreStandin,
+    StoreEndpoint,
+)
 from primrosehub_standins.web import serve
-from primrosehub_standins.worker_host import HostEvent, WorkerHostStandin
+from primrosehub_standins.worker_host import (
+    ALL_EPOCHS,
+    HostEvent,
+    WorkerHostStandin,
+)
 
 IP = "127.0.0.1"
 SERVICE = "workshop"
@@ -82,6 +93,11 @@
         self.stack = ExitStack()
         self.kernel.start(self.stack)
 
+    def lose_pings_of(self, names: list[str]) -> None:
+        """Let no ping of these daemons reach this one, and no answer reach them."""
+        peering = self.kernel.find(cluster.PEERING)
+        peering.register_handler(Ping, _without(names, peering.answer_ping))
+
     def kill(self) -> None:
         """End the daemon at once, without a shutdown sequence."""
         self.kernel = None
@@ -190,6 +206,29 @@
         }
         self.store.put("servers", host.host, entry)
 
+    def cut_off(self, hubs: list[HubHandle], hosts: list[WorkerHostStandin]) -> None:
+        """Cut the owner, other daemons and hosts off from the store and all others."""
+        epoch = self.leader().kernel.find(cluster.OWNERSHIP).known_owner.epoch
+        for hub in hubs:
+            hub.store_endpoint.state = EndpointState.SILENT
+        for host in self.hosts:
+            inside = range(epoch + 1)
+            outside = range(epoch + 1, ALL_EPOCHS.stop)
+            host.reachable_epochs = inside if host in hosts else outside
+        names = {hub.settings.name for hub in hubs}
+        for hub in self.hubs:
+            others = [one.settings.name for one in self.hubs]
+            unreachable = [name for name in others if (name in names) != (hub in hubs)]
+            hub.lose_pings_of(unreachable)
+
+    def reconnect(self) -> None:
+        """Let daemons, hosts and the store reach each other again."""
+        for hub in self.hubs:
+            hub.store_endpoint.state = EndpointState.OPEN
+            hub.lose_pings_of([])
+        for host in self.hosts:
+            host.reachable_epochs = ALL_EPOCHS
+
     def leader(self, timeout_s: float = 8.0) -> HubHandle:
         """Return the daemon that owns the jobs, waiting for one."""
         return self.until(
@@ -276,6 +315,20 @@
         return f"{IP}:{self._serve(AdviceStandin(self.advice).app)}"
 
 
+def _without(
+    names: list[str], answer: Callable[[Ping], PeerMessage]
+) -> Callable[[Ping], PeerMessage]:
+    """Return a function that answers no ping of the named daemons."""
+
+    def answer_others(ping: Ping) -> PeerMessage:
+        if ping.sender.name in names:
+            gevent.sleep(PING_TIMEOUT_S)
+            raise ValueError("lost")
+        return answer(ping)
+
+    return answer_others
+
+
 def find_double_runs(journal: list[HostEvent]) -> list[str]:
     """Return each start of a task that was still running elsewhere."""
     found: list[str] = []
--- a/src/primrosehub_standins/worker_host.py
+++ b/src/primrosehub_standins/worker_host.py
@@ -26,6 +26,7 @@
 MAX_LEASE_MS = 10_000
 MAX_LISTED_ENDS = 500
 STOP_S = 0.05
+ALL_EPOCHS = range(1_000_000)
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +83,7 @@
     host: str
     journal: list[HostEvent]
     silent: bool = False  # ignores requests and answers nothing
+    reachable_epochs: range = ALL_EPOCHS  # ignores requests of owners of other epochs
     mute: bool = False  # applies requests and answers nothing
     lose_answers: int = 0  # starts and stops to apply without an answer
     start_delay_s: float = 0.0
@@ -138,7 +140,7 @@
     def app(self, environ: dict[str, Any], start: StartResponse) -> list[bytes]:
         """Answer one call."""
         body = json_of(environ)
-        if self.silent:
+        if self.silent or body.get("fencing-token", 0) not in self.reachable_epochs:
             raise Hang
         connection = (environ["REMOTE_ADDR"], environ["REMOTE_PORT"])
         incarnation = self._incarnation
