Count a peer's confirmation from the request, not from its receipt

Cause: news was dated by its receipt, and a ping, which nobody asked for, has no date at all; rule 3 of the protocol counts from the request. Change: only answers confirm, from the time of the ping; an owner that misses the store asks all peers. The fault itself, a second run after a suspension, was not reproduced.

--- a/src/primrosehub/services/names/cluster.py
+++ b/src/primrosehub/services/names/cluster.py
@@ -87,12 +87,18 @@
     def reachable_pongs(self, within_s: float) -> Sequence[ReceivedPong]:
         """Return recent pongs with ages, without peers that now refuse connections."""
 
+    def answers(self, within_s: float) -> Sequence[Pong]:
+        """Return each peer's last answer, if asked for in the last ``within_s`` s."""
+
     def refused_s(self, name: str) -> float:
         """Return for how long a peer has been refusing connections, 0 if it is not."""
 
     def watch_closely(self, name: str) -> None:
         """Ping this peer at the short interval, in place of the peer watched before."""
 
+    def ping_all_often(self, often: bool) -> None:
+        """Ping all peers, or only the strongest and watched, at the short interval."""
+
     def ping_now(self) -> None:
         """Ping all peers immediately, to spread a change of this daemon's state."""
 
--- a/src/primrosehub/services/ownership.py
+++ b/src/primrosehub/services/ownership.py
@@ -63,6 +63,9 @@
 CHECK_INTERVAL_S = 0.1  # between checks of the ownership
 CONFIRMATION_VALID_S = 2.0  # orders are sent for this long after a confirmation
 CONFIRM_INTERVAL_S = 0.7  # between an owner's confirmations from the store
+# An owner that the store has not confirmed for this long asks all peers, so that their
+# answers are there before the confirmation expires.
+ASK_PEERS_AFTER_S = 1.0
 RETRY_S = 0.1
 # A longer time between two checks, five times CHECK_INTERVAL_S, means that this daemon
 # was suspended.
@@ -126,7 +129,8 @@
     def may_order(self, epoch: int) -> bool:
         """Return whether this epoch was confirmed recently enough to send orders.
 
-        A confirmation is a store call or a pong of a peer that knows no higher epoch.
+        A confirmation is a store call, or the answer of a peer that knows no higher
+        epoch. It counts from the request.
         """
         if not self._leading or epoch != self._row.epoch:
             return False
@@ -135,7 +139,7 @@
             return True
         peers = [
             pong.sender.name
-            for pong in self._peering.recent_pongs(CONFIRMATION_VALID_S)
+            for pong in self._peering.answers(CONFIRMATION_VALID_S)
             if pong.owner.epoch <= self._row.epoch
         ]
         self._note_confirmed_by("peers" if peers else "nobody", peers)
@@ -380,10 +384,13 @@
                     f"{pong.sender.name} knows epoch {pong.owner.epoch}",
                 )
                 return
-        if steady_s() - self._confirmed_at > CONFIRM_INTERVAL_S:
+        unconfirmed_s = steady_s() - self._confirmed_at
+        self._peering.ping_all_often(unconfirmed_s > ASK_PEERS_AFTER_S)
+        if unconfirmed_s > CONFIRM_INTERVAL_S:
             self.confirm()
 
     def _check_owner(self) -> None:
+        self._peering.ping_all_often(False)
         if self._row.epoch == 0:
             self._reread()
         pongs = self._peering.reachable_pongs(SILENCE_S)
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -194,6 +194,15 @@
     def recent_pongs(self, within_s):
         return self.pongs
 
+    def answers(self, within_s):
+        return self.pongs
+
+    def ping_all_often(self, often):
+        pass
+
+    def ping_now(self):
+        pass
+
     def call(self, name, message, timeout_s):
         self.called.append(name)
         if name in self._silent:
--- a/testing/hub/test_isolation.py
+++ b/testing/hub/test_isolation.py
@@ -3,7 +3,12 @@
 import gevent
 import pytest
 
-from primrosehub_standins.hub_cell import find_double_runs
+from primrosehub.border.codec import encode
+from primrosehub.border.frames import FrameClient
+from primrosehub.core.peering import Ping
+from primrosehub.services.names import cluster
+from primrosehub_standins.hub_cell import find_double_runs, follower
+from primrosehub_standins.row_store import EndpointState
 
 LEASES_ENDED_S = 9.0  # then a task of an owner that has stopped may run elsewhere
 
@@ -30,3 +35,34 @@
     start_tasks_and_cut_off(cell, hubs_with_owner)
     gevent.sleep(LEASES_ENDED_S + 2.0)
     assert find_double_runs(cell.journal) == []
+
+
+# Guards against an owner that goes on because of news from before a suspension.
+def test_a_ping_that_was_not_asked_for_confirms_no_owner(start_hubs):
+    cell = start_hubs()
+    owner, peer = cell.leader(), follower(cell)
+    news = encode(
+        Ping(
+            sender=peer.kernel.find(cluster.PEERING).own_card,
+            owner=peer.kernel.find(cluster.OWNERSHIP).known_owner,
+            config_version=1,
+            store_reached=False,
+        )
+    )
+    peer.kill()
+    owner.store_endpoint.state = EndpointState.SILENT
+    cell.until(lambda: not may_order(owner), "the owner goes on alone")
+    send_to(owner, b"Ping\n" + news)
+    assert not may_order(owner)
+
+
+def may_order(hub):
+    ownership = hub.kernel.find(cluster.OWNERSHIP)
+    return ownership.may_order(ownership.known_owner.epoch)
+
+
+def send_to(hub, message):
+    ip, _, port = hub.settings.peer.rpartition(":")
+    client = FrameClient(ip, int(port))
+    client.call(message, 1.0)
+    client.close()
