Ask more than half of the daemons before an owner without the store goes on

Cause: any peer that knew no later owner confirmed one that the store did not. A peer that is cut off with the owner never learns of one, so the two went on without end, while the successor, 8.6 s later, started on other hosts what ran on those that it could not reach. Class: a bound that rests on another's stop, which nothing enforces. Change: the owner row names the voters. Without the store an owner needs answers of more than half of them; a successor waits until half of them know its epoch. One voter is in both groups, knows the later owner and does not confirm the earlier one, after a restart neither, since it reads the row first. Voters change only by the write of an owner behind which no earlier one is left. An outage of the store for all with one daemon of three dead touches no task, as before.

--- a/src/primrosehub/policy/succession.py
+++ b/src/primrosehub/policy/succession.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from primrosehub.core.peering import OwnerRow, PeerCard, ReceivedPong
+from primrosehub.core.peering import OwnerRow, OwnerSeen, PeerCard, ReceivedPong
 
 # Three ping intervals of 0.3 s; a third of the 3 s that users allow for a take-over.
 SILENCE_S = 1.0
@@ -99,8 +99,8 @@
 ReleaseDecision = KeepOwnership | HeirReady | OutOfTime
 
 
-def same_term(row: OwnerRow, other: OwnerRow) -> bool:
-    """Tell whether two rows name the same term; the number of writes may differ."""
+def same_term(row: OwnerRow | OwnerSeen, other: OwnerRow | OwnerSeen) -> bool:
+    """Tell whether both name the same term of the same owner."""
     return (row.epoch, row.incarnation) == (other.epoch, other.incarnation)
 
 
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -39,10 +39,10 @@
 )
 
 RETRY_S = 0.2
-# By this time the attempts of earlier owners have ended on every host that was not
-# reached: an earlier owner sends orders for at most 2 s after its last confirmation,
-# and a lease lasts at most LEASE_S on a host's clock, which may run slow.
-UNREACHED_TIMEOUT_S = LEASE_S / MIN_HOST_CLOCK_RATE + 2.0 + 0.5
+# A lease lasts at most LEASE_S on a host's clock, which may run slow. So this long
+# after the last orders of earlier owners, no attempt of theirs runs on a host that was
+# not reached.
+LAST_LEASE_S = LEASE_S / MIN_HOST_CLOCK_RATE + 0.5
 MAX_JOB_AGE_MS = 3_600_000  # limits the error in a job's age after a clock jump
 
 
@@ -255,6 +255,9 @@
         self._check_settled()
         self.progress.wake()
 
+    def _earlier_leases_expired(self, now: float) -> bool:
+        return now > self.ownership.earlier_orders_end_at + LAST_LEASE_S
+
     def _unreached_hosts(self) -> list[str]:
         return [host for host, one in self.sessions.items() if not one.reached]
 
@@ -282,8 +285,8 @@
                 if session.info.draining:
                     self._evacuate(session, now)
                 departed = not session.listed and not session.answering
-                overdue = now - self.began_at > UNREACHED_TIMEOUT_S
-                if departed and overdue and session.lease_has_expired(now):
+                lapsed = self._earlier_leases_expired(now)
+                if departed and lapsed and session.lease_has_expired(now):
                     log("host_dropped", host=session.host)
                     self.host_lost_tasks(session, "gone")
                     self._drop_session(session)
@@ -307,12 +310,12 @@
     def _check_settled(self) -> None:
         """Free tasks that no host reported, once all hosts have listed all their ends.
 
-        After ``UNREACHED_TIMEOUT_S`` this happens without the silent hosts.
+        Once the leases of earlier owners have expired, the silent ones are left out.
         """
         if self.settled or not self.loaded.is_set():
             return
         now = steady_s()
-        overdue = now - self.began_at > UNREACHED_TIMEOUT_S
+        overdue = self._earlier_leases_expired(now)
         # Without the roster, a host that is not listed may still run tasks.
         all_known = (self.roster_known or overdue) and all(
             session.ends_listed
--- a/src/primrosehub/services/names/cluster.py
+++ b/src/primrosehub/services/names/cluster.py
@@ -129,6 +129,10 @@
     def confirmed_by_store_at(self) -> float:
         """Return the send time of the last store call that confirmed the ownership."""
 
+    @property
+    def earlier_orders_end_at(self) -> float:
+        """Return from when no earlier owner sends orders, infinity if not known."""
+
     def may_order(self, epoch: int) -> bool:
         """Return whether this epoch was confirmed recently enough to send orders."""
 
@@ -161,6 +165,10 @@
 class Scheduler(Protocol):
     """Run the jobs while this daemon is their owner."""
 
+    @property
+    def settled(self) -> bool:
+        """Return whether nothing that earlier owners started is unaccounted for."""
+
     def start_term(self, epoch: int) -> None:
         """Begin a term of ownership."""
 
--- a/src/primrosehub/services/ownership.py
+++ b/src/primrosehub/services/ownership.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Sequence
 from contextlib import ExitStack
 from dataclasses import replace
 
@@ -18,7 +17,7 @@
 
 from primrosehub.border.codec import decode, encode
 from primrosehub.core.logs import log
-from primrosehub.core.peering import OwnerRow, OwnerSeen, ReceivedPong
+from primrosehub.core.peering import OwnerRow, OwnerSeen, Pong, ReceivedPong
 from primrosehub.core.rows import (
     ABSENT,
     ExpectRow,
@@ -33,6 +32,17 @@
 )
 from primrosehub.kernel import Kernel
 from primrosehub.kernel.clock import steady_s
+from primrosehub.policy.isolation import (
+    CONFIRMATION_VALID_S,
+    VOTER_SILENT_S,
+    Confirmation,
+    ConfirmedByStore,
+    ConfirmedByVoters,
+    Unconfirmed,
+    assess_confirmation,
+    next_voters,
+    orders_end_at,
+)
 from primrosehub.policy.own_pace import SlowProcessorDetector
 from primrosehub.policy.succession import (
     SILENCE_S,
@@ -61,7 +71,6 @@
 )
 
 CHECK_INTERVAL_S = 0.1  # between checks of the ownership
-CONFIRMATION_VALID_S = 2.0  # orders are sent for this long after a confirmation
 CONFIRM_INTERVAL_S = 0.7  # between an owner's confirmations from the store
 # An owner that the store has not confirmed for this long asks all peers, so that their
 # answers are there before the confirmation expires.
@@ -86,7 +95,10 @@
         self._version = ABSENT
         self._leading = False
         self._confirmed_at = float("-inf")
-        self._logged_confirmation = (0, "")
+        self._logged_confirmation: tuple[int, type] = (0, Unconfirmed)
+        self._voters_in_doubt: frozenset[str] | None = None
+        self._informed_at: dict[str, float] = {}
+        self._term_began_at = float("-inf")
         self._owner_heard_at = float("-inf")
         self._owner_known_since = steady_s()
         self._owner_status: OwnerStatus = OwnerAlive()
@@ -126,24 +138,18 @@
         """Return the send time of the last store call that confirmed the ownership."""
         return self._confirmed_at
 
-    def may_order(self, epoch: int) -> bool:
-        """Return whether this epoch was confirmed recently enough to send orders.
+    @property
+    def earlier_orders_end_at(self) -> float:
+        """Return from when no earlier owner sends orders, infinity if not known."""
+        return orders_end_at(set(self._row.voters), self._informed_at)
 
-        A confirmation is a store call, or the answer of a peer that knows no higher
-        epoch. It counts from the request.
-        """
+    def may_order(self, epoch: int) -> bool:
+        """Return whether this epoch was confirmed recently enough to send orders."""
         if not self._leading or epoch != self._row.epoch:
             return False
-        if steady_s() - self._confirmed_at < CONFIRMATION_VALID_S:
-            self._note_confirmed_by("store")
-            return True
-        peers = [
-            pong.sender.name
-            for pong in self._peering.answers(CONFIRMATION_VALID_S)
-            if pong.owner.epoch <= self._row.epoch
-        ]
-        self._note_confirmed_by("peers" if peers else "nobody", peers)
-        return bool(peers)
+        confirmation = self._confirmation()
+        self._log_confirmation(confirmation)
+        return not isinstance(confirmation, Unconfirmed)
 
     def start(self, stack: ExitStack) -> None:
         """Start to monitor the owner and this daemon's processor."""
@@ -153,6 +159,7 @@
         self._metrics = self._kernel.find(METRICS)
         tasks = self._kernel.tasks(stack)
         tasks.spawn("ownership", self._watch)
+        tasks.spawn("confirm", self._confirm_repeatedly)
         tasks.spawn("own-pace", self._watch_processor_speed)
 
     def commit(self, transaction: RowsTransaction) -> None:
@@ -202,18 +209,41 @@
         """Let ``release`` return now unless this daemon is the owner."""
         self._standing_by = False
 
-    def _note_confirmed_by(self, source: str, peers: Sequence[str] = ()) -> None:
-        """Log it if something else confirms the ownership than before."""
-        if (self._row.epoch, source) == self._logged_confirmation:
+    def _confirmation(self) -> Confirmation:
+        electorates = [set(self._row.voters)]
+        if self._voters_in_doubt is not None:
+            electorates.append(self._voters_in_doubt)
+        agreeing = {self._peering.own_card.name}
+        for pong in self._peering.answers(CONFIRMATION_VALID_S):
+            # A peer that restarted knows no epoch until it has read the stored row.
+            if same_term(pong.owner, self._row):
+                agreeing.add(pong.sender.name)
+        if self._peer_with_higher_epoch() is not None:
+            agreeing = set()
+        store_age_s = steady_s() - self._confirmed_at
+        return assess_confirmation(store_age_s, electorates, agreeing)
+
+    def _log_confirmation(self, confirmation: Confirmation) -> None:
+        """Log a confirmation of another kind than before."""
+        kind = (self._row.epoch, type(confirmation))
+        if kind == self._logged_confirmation:
             return
-        self._logged_confirmation = (self._row.epoch, source)
+        self._logged_confirmation = kind
+        match confirmation:
+            case ConfirmedByStore():
+                source, voters = "store", frozenset()
+            case ConfirmedByVoters(voters):
+                source = "voters"
+            case Unconfirmed(voters):
+                source = "nobody"
         self._metrics.gauge("ownership_confirmed_by_store", source == "store")
         log(
             "ownership_confirmed",
             epoch=self._row.epoch,
             by=source,
             by_store_s=round(steady_s() - self._confirmed_at, 3),
-            peers=",".join(peers),
+            agreeing=",".join(sorted(voters)),
+            voters=",".join(self._row.voters),
         )
 
     def _goes_on(self) -> bool:
@@ -377,17 +407,64 @@
                 gevent.sleep(RETRY_S)
 
     def _check_own_term(self) -> None:
-        for pong in self._peering.recent_pongs(CONFIRMATION_VALID_S):
-            if pong.owner.epoch > self._row.epoch:
-                self.step_down(
-                    self._row.epoch,
-                    f"{pong.sender.name} knows epoch {pong.owner.epoch}",
-                )
+        pong = self._peer_with_higher_epoch()
+        if pong is not None:
+            self.step_down(
+                self._row.epoch, f"{pong.sender.name} knows epoch {pong.owner.epoch}"
+            )
+            return
+        now = steady_s()
+        self._peering.ping_all_often(now - self._confirmed_at > ASK_PEERS_AFTER_S)
+        for pong in self._peering.recent_pongs(SILENCE_S):
+            if pong.owner.epoch == self._row.epoch:
+                self._informed_at.setdefault(pong.sender.name, now)
+
+    def _peer_with_higher_epoch(self) -> Pong | None:
+        """Return the news of a peer that knows a later owner, None if there is none."""
+        pongs = self._peering.recent_pongs(CONFIRMATION_VALID_S)
+        return next((p for p in pongs if p.owner.epoch > self._row.epoch), None)
+
+    def _confirm_repeatedly(self) -> None:
+        """Keep the ownership confirmed by the store, and the voters up to date."""
+        while True:
+            gevent.sleep(CHECK_INTERVAL_S)
+            try:
+                due = steady_s() - self._confirmed_at > CONFIRM_INTERVAL_S
+                if self._leading and due:
+                    self.confirm()
+                if self._leading and self._scheduler.settled:
+                    self._update_voters()
+            except (StoreRefused, OwnershipLost):
+                gevent.sleep(RETRY_S)
+
+    def _update_voters(self) -> None:
+        """Store the voters if daemons came or went."""
+        if steady_s() - self._confirmed_at >= CONFIRM_INTERVAL_S + RETRY_S:
+            return
+        voters = tuple(sorted(self._next_voters()))
+        with self._lock:
+            if not self._leading or voters == self._row.voters:
                 return
-        unconfirmed_s = steady_s() - self._confirmed_at
-        self._peering.ping_all_often(unconfirmed_s > ASK_PEERS_AFTER_S)
-        if unconfirmed_s > CONFIRM_INTERVAL_S:
-            self.confirm()
+            row = replace(self._row, number=self._row.number + 1, voters=voters)
+            self._voters_in_doubt = frozenset(voters)
+            try:
+                self._commit_row(row, RowsTransaction())
+            finally:
+                self._voters_in_doubt = None
+        log("voters_changed", epoch=row.epoch, voters=",".join(voters))
+
+    def _next_voters(self) -> frozenset[str]:
+        me = self._peering.own_card.name
+        heard = {
+            pong.sender.name
+            for pong in self._peering.recent_pongs(SILENCE_S)
+            if not pong.leaving
+        }
+        lately = {
+            pong.sender.name for pong in self._peering.recent_pongs(VOTER_SILENT_S)
+        }
+        term_s = steady_s() - self._term_began_at
+        return next_voters(set(self._row.voters), heard | {me}, lately | {me}, term_s)
 
     def _check_owner(self) -> None:
         self._peering.ping_all_often(False)
@@ -471,7 +548,9 @@
 
     def _write_own_row(self) -> None:
         me = self._peering.own_card
-        row = OwnerRow(self._row.epoch + 1, me.incarnation, me.name)
+        # They stay while an earlier owner may rely on them; see ``_update_voters``.
+        voters = self._row.voters or tuple(sorted(self._next_voters()))
+        row = OwnerRow(self._row.epoch + 1, me.incarnation, me.name, voters=voters)
         sent = steady_s()
         transaction = RowsTransaction(
             (ExpectRow(OWNER_KEY, self._version),), (PutRow(OWNER_KEY, encode(row)),)
@@ -494,6 +573,8 @@
             return
         self._leading = True
         self._confirmed_at = confirmed_at
+        self._term_began_at = steady_s()
+        self._informed_at = {self._peering.own_card.name: self._term_began_at}
         self._metrics.gauge("leading", 1)
         self._metrics.count("take_overs")
         self._peering.ping_now()
--- a/src/primrosehub/services/scheduler.py
+++ b/src/primrosehub/services/scheduler.py
@@ -32,6 +32,11 @@
         self._kernel = kernel
         self._term: OwnerTerm | None = None
 
+    @property
+    def settled(self) -> bool:
+        """Return whether nothing that earlier owners started is unaccounted for."""
+        return self._term is not None and self._term.settled
+
     def start(self, stack: ExitStack) -> None:
         """Register handlers for the messages that peers send to the owner."""
         self._metrics = self._kernel.find(METRICS)
--- a/testing/hub/test_isolation.py
+++ b/testing/hub/test_isolation.py
@@ -37,6 +37,29 @@
     assert find_double_runs(cell.journal) == []
 
 
+def test_tasks_run_on_through_an_outage_of_the_store_for_all(start_hubs):
+    cell = start_hubs(hubs=3)
+    owner = cell.leader()
+    jobs = [cell.submit(owner, spec="run 16") for _ in range(4)]
+    cell.until(lambda: len(cell.journal) == len(jobs), "the jobs did not start")
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.SILENT
+    gevent.sleep(1.0)
+    follower(cell).kill()  # one of three, so that two go on
+    gevent.sleep(12.0)
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.OPEN
+    for job in jobs:
+        cell.wait_for(owner, job, "completed")
+        assert len(cell.starts(job)) == 1
+
+
+def test_an_owner_that_reaches_too_few_voters_stops_its_orders(start_hubs):
+    cell = start_hubs(hubs=4, hosts=3)
+    (owner, *_), _ = start_tasks_and_cut_off(cell, hubs_with_owner=1)
+    cell.until(lambda: not may_order(owner), "the owner goes on", 3.0)
+
+
 # Guards against an owner that goes on because of news from before a suspension.
 def test_a_ping_that_was_not_asked_for_confirms_no_owner(start_hubs):
     cell = start_hubs()
@@ -56,11 +79,39 @@
     assert not may_order(owner)
 
 
+def test_a_restarted_daemon_confirms_no_owner_before_it_has_read_the_row(start_hubs):
+    cell = start_hubs()
+    owner, peer = cell.leader(), follower(cell)
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.SILENT
+    peer.kill()
+    peer.start()
+    cell.until(lambda: not may_order(owner), "the owner goes on")
+    gevent.sleep(1.0)
+    assert not may_order(owner)
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.OPEN
+    cell.until(lambda: may_order(cell.leader()), "no owner goes on")
+
+
+def test_a_daemon_that_joins_is_stored_as_a_voter_and_a_dead_one_stays(start_hubs):
+    cell = start_hubs(hubs=2)
+    cell.until(lambda: stored_voters(cell) == ["hub-0", "hub-1"], "not all are voters")
+    follower(cell).kill()
+    cell.add_hub(2)
+    everyone = ["hub-0", "hub-1", "hub-2"]
+    cell.until(lambda: stored_voters(cell) == everyone, "the new one is no voter")
+
+
 def may_order(hub):
     ownership = hub.kernel.find(cluster.OWNERSHIP)
     return ownership.may_order(ownership.known_owner.epoch)
 
 
+def stored_voters(cell):
+    return cell.store.value("owner", "s", "cell").get("voters")
+
+
 def send_to(hub, message):
     ip, _, port = hub.settings.peer.rpartition(":")
     client = FrameClient(ip, int(port))
--- a/testing/protocol/test_ownership.py
+++ b/testing/protocol/test_ownership.py
@@ -34,11 +34,10 @@
         unconfirmed_s.append(steady_s() - ownership.confirmed_by_store_at)
 
     peering = FakePeering(a_peer_card("hub-1"))
-    peering.ping_now = lambda: None
     services = {
         STORE: SlowStore(an_owner_row("hub-1")),
         PEERING: peering,
-        SCHEDULER: SimpleNamespace(start_term=start_term),
+        SCHEDULER: SimpleNamespace(start_term=start_term, settled=False),
         METRICS: FakeMetrics(),
     }
     kernel = FakeKernel(services)
