Start again what a host has lost only once the store has confirmed the owner since

Callers would see a task run twice: an owner that is cut off with more than half of the daemons frees what runs on a host that it can't reach once the lease that it knows of has run out. A later owner, which the store named meanwhile, may have reached that host before and keep the task running. Cause: time and restarts of hosts were taken for proof that nothing runs, which holds only while there is no later owner; voters can't tell that, the store can. Change: tasks that a host has lost, and those on hosts that a term never reached, start again after a confirmation by the store that was requested later.

--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -27,12 +27,16 @@
 
 
 class TaskPhase(Enum):
-    """Name the state of a task as far as the owner knows it."""
+    """Name the state of a task as far as the owner knows it.
+
+    The attempt of a lost task has ended, unless a later owner knows better.
+    """
 
     WAITING = auto()
     STARTING = auto()
     RUNNING = auto()
     STOPPING = auto()
+    LOST = auto()
     DONE = auto()
 
 
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -72,6 +72,7 @@
         self.began_at = steady_s()
         self.tasks = tasks
         self._confirm_requested = Event()
+        self._lost_at: dict[TaskRun, float] = {}
         self._token_buckets: dict[str, TokenBucket] = {}
 
     @property
@@ -90,7 +91,7 @@
         self.rows.follow(version)
         self.tasks.spawn_restarting("progress", self.progress.run)
         self.tasks.spawn_restarting("planner", self.planner.run)
-        self.tasks.spawn_restarting("confirm", self._confirm_new_jobs)
+        self.tasks.spawn_restarting("confirm", self._confirm_on_request)
         self.tasks.spawn_restarting("queue-report", self.queue_report.run)
         self.progress.wake()
         self._watch_hosts()
@@ -106,6 +107,10 @@
         """Request a plan."""
         self.planner.changed.set()
 
+    def request_confirmation(self) -> None:
+        """Ask the store soon whether this daemon is still the owner."""
+        self._confirm_requested.set()
+
     def add_job(
         self, accepted: AcceptedJob, progress: JobProgress | None, at_take_over: bool
     ) -> None:
@@ -132,7 +137,7 @@
             log("job_cancelled_before_it_was_known", job=accepted.job)
             self.progress.wake()
         if not at_take_over:
-            self._confirm_requested.set()
+            self.request_confirmation()
         self.wake()
 
     def cancel(self, job_id: str) -> None:
@@ -228,16 +233,32 @@
             session.leaves_at = steady_s() + self.drain_s
 
     def host_lost_tasks(self, session: HostSession, reason: str) -> None:
-        """Free all tasks of a host on which they certainly no longer run."""
-        lost = list(session.assigned_tasks)
+        """Free all tasks of a host on which they no longer run, once that is confirmed.
+
+        A later owner may have reached the host before they lapsed, and keep them
+        running, or know what the host has done since. So the store has to confirm,
+        by a later request, that there is none.
+        """
+        lost, now = list(session.assigned_tasks), steady_s()
         log("host_lost_work", host=session.host, tasks=len(lost), reason=reason)
         session.assigned_tasks.clear()
         session.untracked_attempts.clear()
         for task in lost:
             for stop in apply_end(self.book, task, EndKind.LAPSED, session.host, ""):
                 self.stop(stop.task, stop.reason)
+            if task.phase is TaskPhase.WAITING:
+                task.phase = TaskPhase.LOST
+                self._lost_at[task] = now
         self.progress.wake()
-        self.wake()
+        self.request_confirmation()
+
+    def _free_lost_tasks(self) -> None:
+        confirmed_at = self.ownership.confirmed_by_store_at
+        for task, lost_at in list(self._lost_at.items()):
+            if lost_at < confirmed_at:
+                del self._lost_at[task]
+                if task.phase is TaskPhase.LOST:
+                    task.phase = TaskPhase.WAITING
 
     def host_replaced(self, session: HostSession) -> None:
         """Drop a session whose address now belongs to another incarnation."""
@@ -255,14 +276,16 @@
         self._check_settled()
         self.progress.wake()
 
-    def _earlier_leases_expired(self, now: float) -> bool:
-        return now > self.ownership.earlier_orders_end_at + LAST_LEASE_S
+    def _earlier_leases_expired(self) -> bool:
+        """Return whether there was no later owner when the last lease had expired."""
+        expired_at = self.ownership.earlier_orders_end_at + LAST_LEASE_S
+        return self.ownership.confirmed_by_store_at > expired_at
 
     def _unreached_hosts(self) -> list[str]:
         return [host for host, one in self.sessions.items() if not one.reached]
 
-    def _confirm_new_jobs(self) -> None:
-        """Confirm the ownership after new jobs arrive, before they start."""
+    def _confirm_on_request(self) -> None:
+        """Confirm the ownership before new jobs start or lost tasks start again."""
         while True:
             self._confirm_requested.wait()
             self._confirm_requested.clear()
@@ -271,6 +294,7 @@
             except StoreRefused:
                 gevent.sleep(RETRY_S)
                 self._confirm_requested.set()
+            self._free_lost_tasks()
             self.wake()
 
     def _watch_hosts(self) -> None:
@@ -285,7 +309,7 @@
                 if session.info.draining:
                     self._evacuate(session, now)
                 departed = not session.listed and not session.answering
-                lapsed = self._earlier_leases_expired(now)
+                lapsed = self._earlier_leases_expired()
                 if departed and lapsed and session.lease_has_expired(now):
                     log("host_dropped", host=session.host)
                     self.host_lost_tasks(session, "gone")
@@ -314,12 +338,16 @@
         """
         if self.settled or not self.loaded.is_set():
             return
-        now = steady_s()
-        overdue = self._earlier_leases_expired(now)
+        overdue = self._earlier_leases_expired()
+        confirmed_at = self.ownership.confirmed_by_store_at
         # Without the roster, a host that is not listed may still run tasks.
         all_known = (self.roster_known or overdue) and all(
             session.ends_listed
-            or (overdue and not session.answering and session.lease_has_expired(now))
+            or (
+                overdue
+                and not session.answering
+                and session.lease_has_expired(confirmed_at)
+            )
             for session in self.sessions.values()
         )
         if all_known:
--- a/src/primrosehub_standins/hub_cell.py
+++ b/src/primrosehub_standins/hub_cell.py
@@ -93,10 +93,10 @@
         self.stack = ExitStack()
         self.kernel.start(self.stack)
 
-    def lose_pings_of(self, names: list[str]) -> None:
-        """Let no ping of these daemons reach this one, and no answer reach them."""
+    def hear_pings_of(self, names: list[str]) -> None:
+        """Let pings of these daemons reach this one, and no others."""
         peering = self.kernel.find(cluster.PEERING)
-        peering.register_handler(Ping, _without(names, peering.answer_ping))
+        peering.register_handler(Ping, _only_of(names, peering.answer_ping))
 
     def kill(self) -> None:
         """End the daemon at once, without a shutdown sequence."""
@@ -212,20 +212,22 @@
         for hub in hubs:
             hub.store_endpoint.state = EndpointState.SILENT
         for host in self.hosts:
-            inside = range(epoch + 1)
+            inside = range(1, epoch + 1)
             outside = range(epoch + 1, ALL_EPOCHS.stop)
             host.reachable_epochs = inside if host in hosts else outside
-        names = {hub.settings.name for hub in hubs}
-        for hub in self.hubs:
-            others = [one.settings.name for one in self.hubs]
-            unreachable = [name for name in others if (name in names) != (hub in hubs)]
-            hub.lose_pings_of(unreachable)
+        self.separate(hubs, [hub for hub in self.hubs if hub not in hubs])
+
+    def separate(self, *groups: list[HubHandle]) -> None:
+        """Let pings reach daemons of the same group only."""
+        for group in groups:
+            for hub in group:
+                hub.hear_pings_of([one.settings.name for one in group])
 
     def reconnect(self) -> None:
         """Let daemons, hosts and the store reach each other again."""
         for hub in self.hubs:
             hub.store_endpoint.state = EndpointState.OPEN
-            hub.lose_pings_of([])
+        self.separate(self.hubs)
         for host in self.hosts:
             host.reachable_epochs = ALL_EPOCHS
 
@@ -315,18 +317,18 @@
         return f"{IP}:{self._serve(AdviceStandin(self.advice).app)}"
 
 
-def _without(
+def _only_of(
     names: list[str], answer: Callable[[Ping], PeerMessage]
 ) -> Callable[[Ping], PeerMessage]:
-    """Return a function that answers no ping of the named daemons."""
+    """Return a function that answers only pings of the named daemons."""
 
-    def answer_others(ping: Ping) -> PeerMessage:
-        if ping.sender.name in names:
+    def answer_some(ping: Ping) -> PeerMessage:
+        if ping.sender.name not in names:
             gevent.sleep(PING_TIMEOUT_S)
             raise ValueError("lost")
         return answer(ping)
 
-    return answer_others
+    return answer_some
 
 
 def find_double_runs(journal: list[HostEvent]) -> list[str]:
--- a/src/primrosehub_standins/worker_host.py
+++ b/src/primrosehub_standins/worker_host.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -83,7 +83,7 @@
     host: str
     journal: list[HostEvent]
     silent: bool = False  # ignores requests and answers nothing
-    reachable_epochs: range = ALL_EPOCHS  # ignores requests of owners of other epochs
+    reachable_epochs: Sequence[int] = ALL_EPOCHS  # of owners that reach it
     mute: bool = False  # applies requests and answers nothing
     lose_answers: int = 0  # starts and stops to apply without an answer
     start_delay_s: float = 0.0
--- a/testing/hub/test_isolation.py
+++ b/testing/hub/test_isolation.py
@@ -22,7 +22,7 @@
     isolated = [owner, *others[:hubs_with_owner]]
     cell.cut_off(isolated, cell.hosts[:hosts])
     outside = others[hubs_with_owner:]
-    cell.until(lambda: any(h.leading for h in outside), "no other daemon took over")
+    next_leader(cell, outside)
     return isolated, jobs
 
 
@@ -37,6 +37,29 @@
     assert find_double_runs(cell.journal) == []
 
 
+# Guards against freeing what a later owner has found running and keeps alive.
+def test_a_replaced_owner_frees_no_task_that_a_later_one_has_found(start_hubs):
+    cell = start_hubs(hubs=5, hosts=2)
+    first = cell.leader()
+    job = cell.submit(first, spec="run 30")
+    (start,) = cell.until(lambda: cell.starts(job), "the job did not start")
+    with_task = next(host for host in cell.hosts if host.host == start.host)
+    (other,) = (host for host in cell.hosts if host is not with_task)
+    cell.cut_off([first], [with_task])
+    staying = [hub for hub in cell.hubs if hub is not first]
+    second = next_leader(cell, staying)
+    gevent.sleep(1.0)  # until it may start tasks on the other host
+    third, *with_second = [hub for hub in staying if hub is not second]
+    for hub in (second, *with_second):
+        hub.store_endpoint.state = EndpointState.SILENT
+    cell.separate([first], [second, *with_second], [third])
+    with_task.reachable_epochs, other.reachable_epochs = [3], [2]
+    assert next_leader(cell, [third]) is third
+    gevent.sleep(LEASES_ENDED_S + 3.0)
+    assert may_order(second)
+    assert len(cell.starts(job)) == 1
+
+
 def test_tasks_run_on_through_an_outage_of_the_store_for_all(start_hubs):
     cell = start_hubs(hubs=3)
     owner = cell.leader()
@@ -103,6 +126,13 @@
     cell.until(lambda: stored_voters(cell) == everyone, "the new one is no voter")
 
 
+def next_leader(cell, hubs):
+    """Return which of these daemons takes over."""
+    return cell.until(
+        lambda: next((hub for hub in hubs if hub.leading), None), "none took over"
+    )
+
+
 def may_order(hub):
     ownership = hub.kernel.find(cluster.OWNERSHIP)
     return ownership.may_order(ownership.known_owner.epoch)
