Show that a replaced owner starts tasks on a restarted host

What callers saw: TWICE; a task ran at two places after a host had restarted.

An owner whose last confirmation is up to 2 s old may have been replaced; hosts that the new owner has reached refuse it, but not one that has restarted since.

No peer is cut off with the owner; it is within 2 s of its last confirmation from the store.

--- /dev/null
+++ b/testing/hub/test_host_restarts.py
@@ -0,0 +1,46 @@
+"""Worker hosts that restart under their id while an owner or an order is behind."""
+
+import gevent
+
+from primrosehub.kernel.clock import steady_s
+from primrosehub.services.names import cluster
+from primrosehub_standins.hub_cell import find_double_runs
+from primrosehub_standins.worker_host import ALL_EPOCHS
+
+CONFIRMATION_ENDED_S = 2.5  # then an owner that is cut off sends no more orders
+WHOLE_HOST = {"count": 1, "cpu": 8000, "mem-mb": 64}
+LONG_TASK = WHOLE_HOST | {"estimated-runtime-ms": 30_000}
+URGENT_TASK = WHOLE_HOST | {"estimated-runtime-ms": 10_000}
+
+
+def wait_for_confirmation(cell, owner):
+    """Wait until the store has just confirmed the ownership."""
+    ownership = owner.kernel.find(cluster.OWNERSHIP)
+    cell.until(
+        lambda: steady_s() - ownership.confirmed_by_store_at < 0.1, "not confirmed"
+    )
+
+
+# Guards against a replaced owner that starts tasks on a host that forgot the fence.
+def test_a_replaced_owner_starts_nothing_on_a_restarted_host(start_hubs):
+    cell = start_hubs(hubs=2, hosts=2)
+    restarting, other = cell.hosts
+    owner = cell.leader()
+    cell.list_host(other, state="draining")
+    gevent.sleep(0.5)
+    long = cell.submit(owner, LONG_TASK, spec="run 30")
+    cell.until(lambda: cell.starts(long), "the long task did not start")
+    waiting = cell.submit(owner, URGENT_TASK, spec="run 10")
+    wait_for_confirmation(cell, owner)
+    cell.cut_off([owner], [restarting])
+    inside = restarting.reachable_epochs
+    restarting.reachable_epochs = ALL_EPOCHS
+    # The owner still gets one change of the list, which it has asked for before.
+    cell.list_host(other, state="draining")
+    gevent.sleep(0.1)
+    cell.list_host(other)
+    cell.until(lambda: cell.starts(waiting), "no other daemon started the task")
+    restarting.reachable_epochs = inside
+    restarting.crash()
+    gevent.sleep(CONFIRMATION_ENDED_S)
+    assert find_double_runs(cell.journal) == []
