Start tasks on an incarnation only after the store has confirmed

What callers saw: TWICE.

Cause: a fence holds while a host lives. An owner that has lost its epoch and doesn't know it is refused by the hosts that its successor has reached; one that restarts forgets that, the owner looks at the new incarnation, frees what it ran, and starts tasks on it.

Change: an incarnation of a host gets starts only after the store, not a peer, has confirmed the ownership by a request sent after this owner's first look at it. The look asks for that confirmation at once, as a new job does. It holds for each first look, so also in a new term, for a host that moved and for one listed anew.

Why it works: if the read was carried out, no one had taken over by then, so whoever does later looks at the same incarnation, which then refuses this owner, or at a later one, which this owner has to have confirmed again, in vain.

Leases are renewed without it: they keep up only what the host runs already.

While the store is away for all daemons, work goes on, and a host that restarts meanwhile gets no starts until the store is back. Before, it got them after a peer's confirmation.

Log: host_starts allowed= obstacle=, at changes only and only for hosts that were reached.

--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -105,6 +105,11 @@
     received and stored; ``ends_stored`` is set after storing. ``client`` leads to one
     incarnation of the host and is replaced once another one answers, so that no order,
     lease or acknowledgement reaches an incarnation that it was not meant for.
+
+    A new incarnation knows no epoch, so it would accept starts of an owner that was
+    replaced without noticing. It gets starts only after the store has confirmed the
+    ownership by a request that was sent after the first look at it: whoever takes over
+    later looks at this incarnation or a later one.
     """
 
     def __init__(self, term: OwnerTerm, info: WorkerHost) -> None:
@@ -132,6 +137,8 @@
         self._orders: Queue = Queue()
         self._unanswered_since = steady_s()
         self._no_starts_until = 0.0
+        self._incarnation_seen_at = float("inf")
+        self._logged_obstacle = ""
 
     @property
     def host(self) -> str:
@@ -144,18 +151,39 @@
         needs = [task.step.spec.need for task in self.assigned_tasks]
         return total([*needs, *self.untracked_attempts.values()])
 
+    @property
+    def incarnation_confirmed(self) -> bool:
+        """Return whether the store has confirmed the ownership since the first look.
+
+        That is the first look at the incarnation of the host that answers now.
+        """
+        return self._term.ownership.confirmed_by_store_at > self._incarnation_seen_at
+
     def accepts_starts(self, now: float, listing_grace_s: float) -> bool:
-        """Return whether new attempts may be started on the host."""
-        listed = self.listed or now - self.unlisted_at < listing_grace_s
-        return (
-            listed
-            and self.enrolled
-            and self.reached
-            and self.answering
-            and not self.info.draining
-            and now >= self._no_starts_until
-            and self.trust.usable(now)
-        )
+        """Return whether new attempts may be started on the host.
+
+        Log why not if it has been reached, and each change.
+        """
+        obstacle = self._obstacle_to_starts(now, listing_grace_s)
+        if self.reached and obstacle != self._logged_obstacle:
+            self._logged_obstacle = obstacle
+            log("host_starts", host=self.host, allowed=not obstacle, obstacle=obstacle)
+        return not obstacle
+
+    def _obstacle_to_starts(self, now: float, listing_grace_s: float) -> str:
+        if not self.listed and now - self.unlisted_at >= listing_grace_s:
+            return "unlisted"
+        if not self.enrolled:
+            return "not in the roster"
+        if not self.reached or not self.answering:
+            return "silent"
+        if not self.incarnation_confirmed:
+            return "ownership unconfirmed since its start"
+        if self.info.draining:
+            return "draining"
+        if now < self._no_starts_until:
+            return "unhealthy"
+        return "" if self.trust.usable(now) else "suspended"
 
     def open(self, tasks: TaskGroup) -> None:
         """Spawn the tasks that renew the lease and send orders."""
@@ -239,6 +267,8 @@
         reading = _ClockReading(report.clock_ms, sent_at, received_at)
         if not self._is_known_incarnation(report.born_ms):
             self._note_restart(report.born_ms, reading)
+        elif not self.reached:
+            self._note_new_incarnation()
         self._born_ms, self._clock_reading = report.born_ms, reading
         if not self.answering:
             self.answering = True
@@ -284,8 +314,13 @@
         self.last_received_end = self.last_stored_end = 0
         self._max_lease_until_ms = 0
         self._born_ms, self._clock_reading = born_ms, reading
+        self._note_new_incarnation()
         self._term.host_lost_tasks(self, "restarted")
 
+    def _note_new_incarnation(self) -> None:
+        self._incarnation_seen_at = steady_s()
+        self._term.request_confirmation()
+
     def _connect(self) -> bool:
         """Open a connection if there is none; tell whether the host can be ordered.
 
@@ -350,7 +385,8 @@
     def _send_start(self, task: TaskRun, attempt: int, planned_at: float) -> None:
         if not self._is_still_starting(task, attempt):
             return
-        if not self._term.may_order or not self.answering:
+        may_start = self._term.may_order and self.incarnation_confirmed
+        if not may_start or not self.answering:
             self._term.not_started(self, task, "host silent or ownership unconfirmed")
             return
         order = self._build_start_order(task)
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -103,14 +103,14 @@
         self.queue_report.clear()
         self.tasks.close()
 
+    def request_confirmation(self) -> None:
+        """Request that the store confirm the ownership at once."""
+        self._confirm_requested.set()
+
     def wake(self) -> None:
         """Request a plan."""
         self.planner.changed.set()
 
-    def request_confirmation(self) -> None:
-        """Ask the store soon whether this daemon is still the owner."""
-        self._confirm_requested.set()
-
     def add_job(
         self, accepted: AcceptedJob, progress: JobProgress | None, at_take_over: bool
     ) -> None:
@@ -285,7 +285,7 @@
         return [host for host, one in self.sessions.items() if not one.reached]
 
     def _confirm_on_request(self) -> None:
-        """Confirm the ownership before new jobs start or lost tasks start again."""
+        """Confirm the ownership, so that new jobs and lost tasks may start."""
         while True:
             self._confirm_requested.wait()
             self._confirm_requested.clear()
--- a/testing/hub/test_host_restarts.py
+++ b/testing/hub/test_host_restarts.py
@@ -5,6 +5,7 @@
 from primrosehub.kernel.clock import steady_s
 from primrosehub.services.names import cluster
 from primrosehub_standins.hub_cell import find_double_runs
+from primrosehub_standins.row_store import EndpointState
 from primrosehub_standins.worker_host import ALL_EPOCHS
 
 CONFIRMATION_ENDED_S = 2.5  # then an owner that is cut off sends no more orders
@@ -44,3 +45,22 @@
     restarting.crash()
     gevent.sleep(CONFIRMATION_ENDED_S)
     assert find_double_runs(cell.journal) == []
+
+
+# Guards against waiting with all work because a host can't be given starts.
+def test_work_goes_on_and_a_restarted_host_waits_while_the_store_is_away(start_hubs):
+    cell = start_hubs(hubs=2, hosts=2)
+    restarting, other = cell.hosts
+    jobs = [cell.submit(cell.leader(), WHOLE_HOST, spec="run 3") for _ in range(2)]
+    cell.until(lambda: len(cell.journal) == len(jobs), "the jobs did not start")
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.BUSY
+    restarting.crash()
+    gevent.sleep(1.5)
+    assert not restarting.running()
+    assert other.running()
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.OPEN
+    cell.until(restarting.running, "the restarted host got no start")
+    for job in jobs:
+        cell.wait_for(cell.leader(), job, "completed")
