Count a lease from the earliest time that the host's clock may show

Callers could see a task run twice: an owner that another has replaced may renew a lease until 2 s after its last confirmation, its successor starts the task elsewhere 8.6 s after that at the earliest, and the lease could last 9.1 s. Cause: it was counted from the latest time that the host's clock may show. A renewal waits a second for an end, so that time is a second or two too late. Change: it is counted from the earliest time, as expiry is.

--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -294,7 +294,8 @@
         """
         if self._clock_reading is None or not self.answering:
             return 0
-        lease_until_ms = self._clock_reading.latest_ms(now) + self._term.lease_ms
+        # From the earliest time, so that no lease lasts longer than a successor waits.
+        lease_until_ms = self._clock_reading.earliest_ms(now) + self._term.lease_ms
         self._max_lease_until_ms = max(self._max_lease_until_ms, lease_until_ms)
         return lease_until_ms
 
--- a/testing/hub/test_hosts.py
+++ b/testing/hub/test_hosts.py
@@ -5,7 +5,9 @@
 import gevent
 import pytest
 
+from primrosehub.kernel.clock import steady_s
 from primrosehub.platform import wire
+from primrosehub.services._host_session import LEASE_S, MIN_HOST_CLOCK_RATE
 from primrosehub_standins.hub_cell import find_double_runs
 from primrosehub_standins.row_store import EndpointState
 
@@ -204,3 +206,17 @@
     jobs = [cell.submit(cell.leader(), spec="run 0.2") for _ in range(8)]
     for job in jobs:
         cell.wait_for(cell.leader(), job, "completed", 15.0)
+
+
+# Guards against a lease that outlasts the time after which a successor frees tasks.
+def test_a_lease_lasts_no_longer_than_it_was_meant_to(start_hubs):
+    cell = start_hubs(hubs=2, hosts=1)
+    host = cell.hosts[0]
+    job = cell.submit(cell.leader(), spec="run 30")
+    cell.until(lambda: cell.starts(job), "the job did not start")
+    gevent.sleep(2.5)  # until renewals wait for their answers
+    for hub in cell.hubs:
+        hub.kill()
+    killed_at = steady_s()
+    cell.until(lambda: not host.running(), "the task runs on", 12.0)
+    assert cell.journal[-1].at - killed_at <= LEASE_S / MIN_HOST_CLOCK_RATE
