Tell a lost job from a late one in the soak

Cause: the soak took each job for LOST that wasn't completed 14 s after the traffic, also one whose second step ran just then. Lost are those not known, shown as failed or cancelled at either question, with nothing running for 3 s though a step's turn has come and there is that room, or with all tasks done for 3 s and not shown as completed. The record cases that were there still break LOST; new ones stand just inside and just outside of each bound. Measured: testing/standins/test_soak.py, 59 passed.

--- a/src/primrosehub_standins/soak/cell.py
+++ b/src/primrosehub_standins/soak/cell.py
@@ -122,7 +122,7 @@
     """Hold the stand-ins and the daemons of a run, and play its trouble."""
 
     def __init__(self, plan: Plan, checkout: Path, out: Path) -> None:
-        self.record = Record(capacity_m=HOST_CAPACITY["cpu"])
+        self.record = Record(capacity_m=HOST_CAPACITY["cpu"], host_count=plan.hosts)
         self.cell = HubCell(hubs=0, hosts=plan.hosts)
         self.daemons = [
             DaemonProcess(self.cell, number, checkout, out)
--- a/src/primrosehub_standins/soak/record.py
+++ b/src/primrosehub_standins/soak/record.py
@@ -7,6 +7,7 @@
 # Of the users' rules; in seconds.
 CONTACT_WINDOW_S = 3.0
 CANCEL_S = 3.0
+IDLE_S = 3.0
 MAX_MEMORY_MB = 300.0
 
 
@@ -18,7 +19,9 @@
     ``accepted_at`` is the time of the first acceptance, None if there was none.
     ``rejected`` tells that each submission was answered as not accepted.
     ``cancel_sent`` tells that a cancellation was sent, ``cancelled_at`` when one was
-    first acknowledged. ``state`` is what was shown long after the traffic.
+    first acknowledged. ``state`` is what was shown long after the traffic, and
+    ``later_state`` what was shown after a further look, if it was not completed.
+    ``gang`` tells that the tasks of a step start together.
     """
 
     id: str
@@ -30,6 +33,8 @@
     cancel_sent: bool = False
     cancelled_at: float | None = None
     state: str = ""
+    later_state: str = ""
+    gang: bool = False
 
 
 @dataclass(slots=True)
@@ -77,7 +82,9 @@
     """Hold all of one run.
 
     ``owners`` names the daemon of each epoch. ``own_ends`` names daemons that ended by
-    themselves, ``memory_mb`` is each daemon's peak. ``capacity_m`` is that of a host.
+    themselves, ``memory_mb`` is each daemon's peak. ``capacity_m`` is that of each of
+    ``host_count`` hosts. Jobs were asked for at ``asked_at``, and the hosts looked at
+    until ``looked_until``.
     """
 
     jobs: dict[str, SentJob] = field(default_factory=dict)
@@ -87,6 +94,9 @@
     own_ends: list[str] = field(default_factory=list)
     memory_mb: dict[str, float] = field(default_factory=dict)
     capacity_m: int = 0
+    host_count: int = 0
+    asked_at: float = 0.0
+    looked_until: float = 0.0
 
     def in_touch(self, daemon: str, at: float) -> bool:
         """Tell whether a daemon was undisturbed for the contact window before."""
--- a/testing/builders/soak.py
+++ b/testing/builders/soak.py
@@ -13,7 +13,13 @@
         "accepted_at": 0.0,
         "state": "completed",
     }
-    return SentJob(job, **(values | fields))
+    values |= fields
+    return SentJob(job, **({"later_state": values["state"]} | values))
+
+
+def a_late_job(**fields):
+    """Return a job that was at work when it was asked for, and completed later."""
+    return a_sent_job(**({"state": "running", "later_state": "completed"} | fields))
 
 
 def a_run(started_at=1.0, ended_at=2.0, how="done", step=0, host="i-0", **fields):
@@ -29,11 +35,12 @@
     """Return a record of a job that holds all rules, changed by the entries."""
     runs = [one for one in entries if isinstance(one, Run)]
     jobs = [one for one in entries if isinstance(one, SentJob)] or [a_sent_job()]
+    looks = {"host_count": 2, "asked_at": 100.0, "looked_until": 110.0}
     return Record(
         jobs={job.id: job for job in jobs},
         runs=runs or [a_run(), a_run(2.5, 3.0, step=1)],
         disruptions=[one for one in entries if isinstance(one, Disruption)],
         owners={1: "hub-0", 2: "hub-1"},
         capacity_m=8000,
-        **fields,
+        **(looks | fields),
     )
--- a/testing/standins/test_soak.py
+++ b/testing/standins/test_soak.py
@@ -1,6 +1,13 @@
 import orjson
 import pytest
-from testing.builders.soak import JOB, a_disruption, a_record, a_run, a_sent_job
+from testing.builders.soak import (
+    JOB,
+    a_disruption,
+    a_late_job,
+    a_record,
+    a_run,
+    a_sent_job,
+)
 
 from primrosehub_standins.soak.checker import find_breaches
 from primrosehub_standins.soak.main import EXIT_BAD_PLAN, soak
@@ -14,6 +21,18 @@
 
 CANCELLED = a_sent_job(cancel_sent=True, cancelled_at=1.0, state="cancelled")
 
+FILLER = "7700000000000001"
+
+
+def a_record_beside(used_m, *entries):
+    """Return a record of a job that waits beside another on one of two hosts."""
+    return a_record(
+        *entries,
+        a_sent_job(FILLER, tasks=(1,), cpu_m=(used_m,), after=((),)),
+        a_run(90.0, 111.0, task=f"{FILLER}.0.0.0"),
+    )
+
+
 BROKEN = {
     "TWICE": [
         a_record(a_run(), a_run(1.5, 2.5, host="i-1", attempt=2)),
@@ -33,6 +52,24 @@
         a_record(a_sent_job(state="410")),
         a_record(a_sent_job(state="running")),
         a_record(a_sent_job(state="failed")),
+        a_record(a_sent_job(state="cancelled")),
+        a_record(a_sent_job(state="no answer")),
+        a_record(a_late_job(later_state="410")),
+        a_record(a_late_job(later_state="failed")),
+        # Nothing ran for 3 s: at the end, between two steps, with no start ever.
+        a_record(a_late_job(later_state="running"), a_run(90.0, 107.0)),
+        a_record(a_late_job(), a_run(90.0, 104.0), a_run(107.0, 108.0, step=1)),
+        a_record(a_late_job(), a_run(103.0, 104.0), a_run(104.0, 105.0, step=1)),
+        # All tasks are done, and it isn't shown for 3 s.
+        a_record(
+            a_late_job(later_state="running"),
+            *(a_run(90.0, 104.0), a_run(104.0, 107.0, step=1)),
+        ),
+        # Room for it twice over, and under half of all room in use.
+        a_record_beside(7999, a_late_job(tasks=(1,), cpu_m=(4000,), after=((),))),
+        a_record_beside(
+            7999, a_late_job(tasks=(2,), cpu_m=(2000,), after=((),), gang=True)
+        ),
     ],
     "FAULT": [a_record(own_ends=["hub-0"]), a_record(memory_mb={"hub-0": 301.0})],
 }
@@ -59,6 +96,19 @@
     "LOST": [
         a_record(a_sent_job(accepted_at=None, state="")),
         a_record(a_sent_job(cancel_sent=True, state="cancelled")),
+        a_record(a_late_job(), a_run(90.0, 104.0), a_run(106.9, 108.0, step=1)),
+        a_record(a_late_job(later_state="running"), a_run(90.0, 107.1)),
+        a_record(a_late_job(), a_run(102.9, 104.0), a_run(104.0, 105.0, step=1)),
+        a_record(
+            a_late_job(later_state="running"),
+            *(a_run(90.0, 104.0), a_run(104.0, 107.1, step=1)),
+        ),
+        a_record(a_late_job(), a_run(90.0, 101.0), a_run(101.0, 102.0, step=1)),
+        a_record_beside(7999, a_late_job(tasks=(1,), cpu_m=(4001,), after=((),))),
+        a_record_beside(8000, a_late_job(tasks=(1,), cpu_m=(4000,), after=((),))),
+        a_record_beside(
+            7999, a_late_job(tasks=(2,), cpu_m=(2001,), after=((),), gang=True)
+        ),
     ],
     "FAULT": [a_record(memory_mb={"hub-0": 300.0})],
 }
