Cut links between daemons, hosts and the store in the soak

Change: each daemon process connects through a relay in the soak's own process, by a starter that redirects the sockets of an unchanged checkout; a refused target stays refused. A cut link withholds bytes, one way or both, and delivers them when it heals; new connections over it hang. New trouble: cut-zone, cut-owner (alone, or with daemons and hosts of its zone first), cut-nodes and cut-link, drawn one after the other, three in four without other harm to daemons meanwhile. Their bound is 30 s, not 10 s: that of the others is the longest disruption that the users list, and what an isolated owner does wrong shows only once leases of 10 s have ended. A plan may have jobs of 20 s, which run on while leases end, and spreads daemons and hosts over its zones. Daemons that are cut off get no callers and aren't in touch, and an order to a host that was cut off isn't late; nothing excuses TWICE. Drawing has its own module, as have the daemon's process, the links, and which nodes an isolation touches.

--- a/src/primrosehub_standins/hub_cell.py
+++ b/src/primrosehub_standins/hub_cell.py
@@ -194,12 +194,18 @@
         }
         self.store.put("op", "config", config | changes)
 
-    def list_host(self, host: WorkerHostStandin, state: str = "ready") -> None:
+    def address_of(self, host: WorkerHostStandin) -> str:
+        """Return the address of a host."""
+        return self._addresses[host.host]
+
+    def list_host(
+        self, host: WorkerHostStandin, state: str = "ready", zone: str = "zone-0"
+    ) -> None:
         """Write a host's entry of the host list."""
         entry = {
             "service": SERVICE,
             "address": self._addresses[host.host],
-            "zone": "zone-0",
+            "zone": zone,
             "state": state,
             "free-capacity": HOST_CAPACITY,
             "labels": ["a", "r1"],
--- a/src/primrosehub_standins/soak/cell.py
+++ b/src/primrosehub_standins/soak/cell.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import os
 import signal
-import subprocess
-import sys
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
@@ -17,10 +14,18 @@
 from primrosehub.kernel.clock import steady_s
 from primrosehub_standins.hub_cell import HOST_CAPACITY, HubCell
 from primrosehub_standins.row_store import EndpointState, StoreEndpoint
+from primrosehub_standins.soak.daemon import DaemonProcess
+from primrosehub_standins.soak.isolation import STORE, Nodes, cut_of
+from primrosehub_standins.soak.links import Links, Relay
 from primrosehub_standins.soak.plan import (
     ALL_DAEMONS,
     CutHost,
+    CutLink,
+    CutNodes,
+    CutOwner,
+    CutZone,
     FreezeDaemon,
+    Isolation,
     KillDaemon,
     KillOwner,
     LoseStoreAnswers,
@@ -53,81 +58,20 @@
     """Report that the daemons do not serve before any trouble."""
 
 
-class DaemonProcess:
-    """Run a hub daemon of a checkout as a process."""
-
-    def __init__(self, cell: HubCell, number: int, checkout: Path, out: Path) -> None:
-        self.endpoint = StoreEndpoint()
-        self.settings = cell.new_settings(number, self.endpoint)
-        self.name = self.settings.name
-        self.disturbed = False
-        self._checkout = checkout
-        self._settings_path = out / f"{self.name}.json"
-        self._log_path = out / f"{self.name}.log"
-        self._process: subprocess.Popen[bytes] | None = None
-
-    @property
-    def runs(self) -> bool:
-        """Tell whether the process runs."""
-        return self._process is not None and self._process.poll() is None
-
-    @property
-    def memory_mb(self) -> float:
-        """Return the peak of the memory of the process, 0 if it is gone."""
-        if self._process is None:
-            return 0.0
-        try:
-            status = Path(f"/proc/{self._process.pid}/status").read_text()
-        except OSError:
-            return 0.0
-        line = next((one for one in status.splitlines() if "VmHWM" in one), "")
-        return int(line.split()[1]) / 1024 if line else 0.0
-
-    def start(self, seed_peers: tuple[str, ...]) -> None:
-        """Start the process."""
-        settings = self.settings.model_copy(update={"seed_peers": seed_peers})
-        self._settings_path.write_bytes(orjson.dumps(settings.model_dump()))
-        environment = os.environ | {
-            "PRIMROSEHUB_SETTINGS": str(self._settings_path),
-            "PYTHONPATH": str(self._checkout / "src"),
-        }
-        with self._log_path.open("ab") as log:
-            self._process = subprocess.Popen(
-                [sys.executable, str(self._checkout / "src" / "hub_main.py")],
-                env=environment,
-                stdout=log,
-                stderr=log,
-            )
-
-    def signal(self, number: int) -> None:
-        """Send a signal to the process if it runs."""
-        if self.runs:
-            self._process.send_signal(number)
-
-    def kill(self) -> None:
-        """End the process at once."""
-        if self._process is not None:
-            self.signal(signal.SIGKILL)
-            self._process.wait()
-            self._process = None
-
-    def wait_for_exit(self, timeout_s: float) -> None:
-        """Wait until the process has exited, at most for a time."""
-        end = steady_s() + timeout_s
-        while self.runs and steady_s() < end:
-            gevent.sleep(0.02)
-
-
 class SoakCell:
     """Hold the stand-ins and the daemons of a run, and play its trouble."""
 
     def __init__(self, plan: Plan, checkout: Path, out: Path) -> None:
         self.record = Record(capacity_m=HOST_CAPACITY["cpu"], host_count=plan.hosts)
         self.cell = HubCell(hubs=0, hosts=plan.hosts)
+        self._nodes = Nodes(plan.daemons, plan.hosts, plan.zones)
         self.daemons = [
-            DaemonProcess(self.cell, number, checkout, out)
-            for number in range(plan.daemons)
+            self._new_daemon(number, checkout, out) for number in range(plan.daemons)
         ]
+        for host in self.cell.hosts:
+            self.cell.list_host(host, zone=self._nodes.zone_name(host.host))
+        self._links = Links()
+        self._relay = Relay(self._links, self._node_of_each_address())
         self._plan = plan
         self._seeds = tuple(
             daemon.settings.peer for daemon in self.daemons[:MAX_SEED_PEERS]
@@ -137,9 +81,10 @@
     def __enter__(self) -> SoakCell:
         with ExitStack() as stack:
             stack.callback(self.cell.__exit__)
+            stack.enter_context(self._relay)
             for daemon in self.daemons:
                 stack.callback(daemon.kill)
-                daemon.start(self._seeds)
+                daemon.start(self._seeds, self._relay.port)
             stack.callback(self._end_tasks)
             self._wait_until_ready()
             self._tasks.append(gevent.spawn(self._watch_daemons))
@@ -152,7 +97,7 @@
     @property
     def serving(self) -> list[DaemonProcess]:
         """Return the daemons to which a load balancer would send callers."""
-        return [one for one in self.daemons if one.runs and not one.disturbed]
+        return [one for one in self.daemons if one.serves]
 
     def owner(self) -> DaemonProcess | None:
         """Return the daemon that the owner row names."""
@@ -218,7 +163,7 @@
                 elif daemon in known and not daemon.disturbed:
                     known.discard(daemon)
                     self.record.own_ends.append(daemon.name)
-                    daemon.start(self._seeds)
+                    daemon.start(self._seeds, self._relay.port)
             gevent.sleep(CHECK_INTERVAL_S)
 
     def _end_tasks(self) -> None:
@@ -261,6 +206,10 @@
                 self.cell.configure(routes=[self.cell.route("others")])
                 gevent.sleep(for_s)
                 self.cell.configure()
+            case CutZone() | CutOwner() | CutNodes() | CutLink():
+                owner = self.owner()
+                if owner is not None:
+                    self._cut_links(trouble, owner.name)
 
     def _chosen(self, number: int) -> list[DaemonProcess]:
         return self.daemons if number == ALL_DAEMONS else [self.daemons[number]]
@@ -283,7 +232,7 @@
         self._restart(daemon, began_at, "stopped")
 
     def _restart(self, daemon: DaemonProcess, began_at: float, what: str) -> None:
-        daemon.start(self._seeds)
+        daemon.start(self._seeds, self._relay.port)
         end = steady_s() + READY_TIMEOUT_S
         while daemon.runs and not self._is_ready(daemon) and steady_s() < end:
             gevent.sleep(CHECK_INTERVAL_S)
@@ -320,8 +269,35 @@
             daemon.endpoint.answer_delay_s = 0.0
         self._note_disruption("", began_at, "store slow")
 
-    def _note_disruption(self, daemon: str, began_at: float, what: str) -> None:
-        self.record.disruptions.append(Disruption(daemon, began_at, steady_s(), what))
+    def _cut_links(self, trouble: Isolation, owner: str) -> None:
+        near, cut = cut_of(trouble, self._nodes, owner)
+        touched = [daemon for daemon in self.daemons if daemon.name in near]
+        began_at = steady_s()
+        with self._links.cut(cut):
+            for daemon in touched:
+                daemon.cuts += 1
+            gevent.sleep(trouble.for_s)
+        for daemon in touched:
+            daemon.cuts -= 1
+        for name in near:
+            self._note_disruption(name, began_at, f"cut off, {trouble.direction}")
+
+    def _new_daemon(self, number: int, checkout: Path, out: Path) -> DaemonProcess:
+        endpoint = StoreEndpoint()
+        settings = self.cell.new_settings(number, endpoint)
+        zone = self._nodes.zone_name(settings.name)
+        settings = settings.model_copy(update={"zone": zone})
+        return DaemonProcess(settings, endpoint, checkout, out)
+
+    def _node_of_each_address(self) -> dict[str, str]:
+        nodes = {self.cell.address_of(host): host.host for host in self.cell.hosts}
+        for daemon in self.daemons:
+            settings = daemon.settings
+            nodes |= {settings.peer: daemon.name, settings.store: STORE}
+        return nodes
+
+    def _note_disruption(self, node: str, began_at: float, what: str) -> None:
+        self.record.disruptions.append(Disruption(node, began_at, steady_s(), what))
 
 
 def _runs_of(hosts: list[WorkerHostStandin], journal: list[Any]) -> list[Run]:
--- a/src/primrosehub_standins/soak/checker.py
+++ b/src/primrosehub_standins/soak/checker.py
@@ -78,7 +78,9 @@
         yield Breach("REFUSED", run.task, f"{_start(run)}; every attempt was rejected")
     if job.cancelled_at is None or run.started_at <= job.cancelled_at + CANCEL_S:
         return
-    if record.in_touch(record.owners.get(run.epoch, ""), run.started_at):
+    # A host that was cut off may have got the order late.
+    nodes = (record.owners.get(run.epoch, ""), run.host)
+    if all(record.in_touch(node, run.started_at) for node in nodes):
         yield Breach(
             "UNASKED", run.task, f"{_start(run)}; cancelled at {job.cancelled_at:.3f}"
         )
--- a/src/primrosehub_standins/soak/clients.py
+++ b/src/primrosehub_standins/soak/clients.py
@@ -14,14 +14,16 @@
 from primrosehub_standins.hub_cell import API_KEY, HOST_NAME, PREFIX
 from primrosehub_standins.soak.cell import SoakCell
 from primrosehub_standins.soak.lost import WORKING_STATES
+from primrosehub_standins.soak.plan import Plan
 from primrosehub_standins.soak.record import SentJob
 
 ATTEMPTS = 5  # a caller's first attempt and its four retries
 RETRY_S = 0.4
 MAX_CANCEL_ATTEMPTS = 10
-LOOK_ON_S = 10.0  # a job's longest task, and the time that shows it idle after it
+LOOK_ON_S = 10.0  # at jobs that are still at work when they are asked for
 CANCEL_AFTER_S = (None, None, 0.0, 0.05, 0.5, 2.0, 4.0)
 _ACCEPTED, _REJECTED, _CANCELLED = (200,), (404, 429, 503), (200, 410)
+_LONG = "run 20"  # beyond the leases of hosts that are cut off
 _ENDS_IN_TIME = ("run 0.1", "run 0.4", "run 1", "run 3", "run 6")
 
 
@@ -35,7 +37,7 @@
     submit_twice: bool
 
 
-def draw_job(choices: random.Random, job_id: str) -> Draft:
+def draw_job(choices: random.Random, job_id: str, long: bool = False) -> Draft:
     """Return a job of a kind that callers send."""
     first = _step(choices.randint(1, 4), choices.choice((500, 2000, 4000)))
     match choices.choice(("quick", "batch", "chain", "gang")):
@@ -47,7 +49,8 @@
             steps = [first, _step(2, 1000) | {"after": [0]}]
         case _:
             steps = [first | {"gang-scheduled": True}]
-    body = orjson.dumps({"spec": choices.choice(_ENDS_IN_TIME), "phases": steps})
+    spec = choices.choice(_ENDS_IN_TIME)
+    body = orjson.dumps({"spec": _LONG if long else spec, "phases": steps})
     job = SentJob(
         job_id,
         tasks=tuple(step["count"] for step in steps),
@@ -65,19 +68,22 @@
 class Clients:
     """Send the jobs of a plan at their times."""
 
-    def __init__(self, cell: SoakCell, seed: int) -> None:
+    def __init__(self, cell: SoakCell, plan: Plan) -> None:
         self._cell = cell
-        self._choices = random.Random(f"jobs of {seed}")
+        self._plan = plan
+        self._choices = random.Random(f"jobs of {plan.seed}")
+        self._long_choices = random.Random(f"long jobs of {plan.seed}")
         self._calls: list[gevent.Greenlet] = []
 
-    def send(self, seconds: float, jobs_per_s: float) -> None:
-        """Begin new jobs for a time, then wait until each caller has finished."""
-        end = steady_s() + seconds
+    def send(self) -> None:
+        """Begin new jobs for the plan's time, then wait until each caller is done."""
+        end = steady_s() + self._plan.seconds
         while steady_s() < end:
-            draft = draw_job(self._choices, self._cell.cell.new_id())
+            long = self._long_choices.random() < self._plan.long_share
+            draft = draw_job(self._choices, self._cell.cell.new_id(), long)
             self._cell.record.jobs[draft.job.id] = draft.job
             self._calls.append(gevent.spawn(self._play, draft))
-            gevent.sleep(self._choices.expovariate(jobs_per_s))
+            gevent.sleep(self._choices.expovariate(self._plan.jobs_per_s))
         gevent.joinall(self._calls)
 
     def read_states(self) -> None:
--- a/src/primrosehub_standins/soak/main.py
+++ b/src/primrosehub_standins/soak/main.py
@@ -18,7 +18,8 @@
 from primrosehub_standins.soak.cell import SoakCell, SystemNotReady
 from primrosehub_standins.soak.checker import Breach, find_breaches
 from primrosehub_standins.soak.clients import Clients
-from primrosehub_standins.soak.plan import Plan, draw_plan, encode_plan, read_plan
+from primrosehub_standins.soak.draw import draw_plan
+from primrosehub_standins.soak.plan import Plan, encode_plan, read_plan
 from primrosehub_standins.soak.record import Record
 
 CHECKOUT = Path(__file__).resolve().parents[3]
@@ -75,9 +76,9 @@
     (out / "plan.json").write_bytes(encode_plan(plan))
     try:
         with SoakCell(plan, system, out) as cell:
-            clients = Clients(cell, plan.seed)
+            clients = Clients(cell, plan)
             cell.play_troubles()
-            clients.send(plan.seconds, plan.jobs_per_s)
+            clients.send()
             gevent.sleep(FINISH_S)
             clients.read_states()
             record = cell.complete_record()
@@ -115,7 +116,7 @@
     events: list[tuple[float, str]] = [
         (
             one.began_at,
-            f"trouble: {one.daemon or 'all'} {one.what} to {one.ended_at:.3f}",
+            f"trouble: {one.node or 'all'} {one.what} to {one.ended_at:.3f}",
         )
         for one in record.disruptions
     ]
--- a/src/primrosehub_standins/soak/plan.py
+++ b/src/primrosehub_standins/soak/plan.py
@@ -1,8 +1,8 @@
-"""What a soak does to the system and when: drawn from a seed, or read from a file."""
+"""What a soak does to the system and when, as a file says it."""
 
 from __future__ import annotations
 
-import random
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, ClassVar, Literal
@@ -11,16 +11,18 @@
 
 from primrosehub.border.codec import describe_validation_error
 
-MAX_DAEMONS, MAX_HOSTS, MAX_SECONDS = 40, 100, 3600
+MAX_DAEMONS, MAX_HOSTS, MAX_ZONES, MAX_SECONDS = 40, 100, 8, 3600
 ALL_DAEMONS = -1
-MIN_PAUSE_S, MAX_PAUSE_S = 0.4, 2.5  # between the beginnings of two troubles
-TEARDOWN_S = 4.0  # at the end of a run, without new trouble
 
 Moment = Annotated[float, Field(ge=0, le=MAX_SECONDS)]
 # The longest disruptions that the users' sites list are a little shorter.
 Duration = Annotated[float, Field(ge=0, le=10)]
+# What an isolated owner does wrong shows once leases of 10 s have ended.
+IsolationTime = Annotated[float, Field(ge=0, le=30)]
 DaemonNumber = Annotated[int, Field(ge=ALL_DAEMONS, lt=MAX_DAEMONS)]
 HostNumber = Annotated[int, Field(ge=0, lt=MAX_HOSTS)]
+# Which bytes are withheld, as seen from those that are cut off.
+Direction = Literal["both", "outgoing", "incoming"]
 
 
 class _Strict:
@@ -136,6 +138,57 @@
     kind: Literal["remove-route"] = "remove-route"
 
 
+@dataclass(frozen=True, slots=True)
+class CutZone(_Strict):
+    """Cut the daemons and hosts of a zone off from all others, and from the store."""
+
+    at_s: Moment
+    zone: Annotated[int, Field(ge=0, lt=MAX_ZONES)]
+    for_s: IsolationTime
+    direction: Direction = "both"
+    keep_store: bool = False
+    kind: Literal["cut-zone"] = "cut-zone"
+
+
+@dataclass(frozen=True, slots=True)
+class CutOwner(_Strict):
+    """Cut the owner off with as many daemons and hosts, those of its zone first."""
+
+    at_s: Moment
+    daemons: Annotated[int, Field(ge=0, lt=MAX_DAEMONS)]
+    hosts: Annotated[int, Field(ge=0, le=MAX_HOSTS)]
+    for_s: IsolationTime
+    direction: Direction = "both"
+    keep_store: bool = False
+    kind: Literal["cut-owner"] = "cut-owner"
+
+
+@dataclass(frozen=True, slots=True)
+class CutNodes(_Strict):
+    """Cut some daemons and hosts off together from all others, and from the store."""
+
+    at_s: Moment
+    daemon_numbers: tuple[Annotated[int, Field(ge=0, lt=MAX_DAEMONS)], ...]
+    host_numbers: tuple[HostNumber, ...]
+    for_s: IsolationTime
+    direction: Direction = "both"
+    keep_store: bool = False
+    kind: Literal["cut-nodes"] = "cut-nodes"
+
+
+@dataclass(frozen=True, slots=True)
+class CutLink(_Strict):
+    """Cut the link between a daemon and one other daemon, a host or the store."""
+
+    at_s: Moment
+    daemon: Annotated[int, Field(ge=0, lt=MAX_DAEMONS)]
+    other: Annotated[str, Field(pattern=r"^(hub-\d{1,2}|i-\d{1,2}|store)$")]
+    for_s: IsolationTime
+    direction: Direction = "both"
+    kind: Literal["cut-link"] = "cut-link"
+
+
+Isolation = CutZone | CutOwner | CutNodes | CutLink
 Trouble = (
     KillDaemon
     | KillOwner
@@ -148,67 +201,30 @@
     | SlowStore
     | LoseStoreAnswers
     | RemoveRoute
+    | Isolation
 )
 
 
 @dataclass(frozen=True, slots=True)
 class Plan(_Strict):
-    """Hold all that a run draws; the same plan makes the same jobs and trouble."""
+    """Hold all that a run draws; the same plan makes the same jobs and trouble.
+
+    ``long_share`` is that of the jobs whose tasks run on while leases end.
+    """
 
     seed: int
     seconds: Annotated[float, Field(gt=0, le=MAX_SECONDS)]
     daemons: Annotated[int, Field(ge=1, le=MAX_DAEMONS)] = 3
     hosts: Annotated[int, Field(ge=1, le=MAX_HOSTS)] = 8
     jobs_per_s: Annotated[float, Field(gt=0, le=100)] = 6.0
+    zones: Annotated[int, Field(ge=1, le=MAX_ZONES)] = 1
+    long_share: Annotated[float, Field(ge=0, le=1)] = 0.0
     troubles: tuple[Annotated[Trouble, Field(discriminator="kind")], ...] = ()
 
 
 _PLAN = TypeAdapter(Plan)
 
 
-def draw_plan(
-    seed: int, seconds: float, daemons: int = 3, hosts: int = 8, jobs_per_s: float = 6.0
-) -> Plan:
-    """Return the plan of a seed; raise ValueError if a size is beyond its bounds."""
-    check_plan(encode_plan(Plan(seed, seconds, daemons, hosts, jobs_per_s)))
-    choices = random.Random(seed)
-    troubles: list[Trouble] = []
-    at_s = choices.uniform(MIN_PAUSE_S, MAX_PAUSE_S)
-    while at_s < seconds - TEARDOWN_S:
-        troubles.append(_draw_trouble(choices, round(at_s, 3), daemons, hosts))
-        at_s += choices.uniform(MIN_PAUSE_S, MAX_PAUSE_S)
-    return Plan(seed, seconds, daemons, hosts, jobs_per_s, tuple(troubles))
-
-
-def _draw_trouble(
-    choices: random.Random, at_s: float, daemons: int, hosts: int
-) -> Trouble:
-    daemon, host = choices.randrange(daemons), choices.randrange(hosts)
-    for_s = choices.choice((0.1, 0.3, 0.5, 1.0, 2.0, 4.5))
-    some_or_all = choices.choice((daemon, ALL_DAEMONS))
-    how = choices.choice(("busy", "silent", "reset"))
-    # What has found most stands in the list more than once.
-    return choices.choice(
-        (
-            RestartHost(at_s, host, for_s),
-            RestartHost(at_s, host, min(for_s, 0.5)),
-            RestartHost(at_s, (host + 1) % hosts, for_s),
-            CutHost(at_s, host, choices.choice((2.0, 4.5, 8.0))),
-            CutHost(at_s, (host + 2) % hosts, choices.choice((4.5, 8.0))),
-            KillOwner(at_s, min(for_s, 1.0)),
-            KillDaemon(at_s, daemon, min(for_s, 1.0)),
-            KillDaemon(at_s, ALL_DAEMONS, min(for_s, 2.0)),
-            StopDaemon(at_s, daemon),
-            ReloadDaemon(at_s, daemon),
-            FreezeDaemon(at_s, daemon, for_s),
-            RefuseStoreCalls(at_s, some_or_all, for_s, how),
-            SlowStore(at_s, for_s, choices.choice((0.1, 0.3, 0.8))),
-            LoseStoreAnswers(at_s, choices.randint(1, 4)),
-            RemoveRoute(at_s, min(for_s, 2.0)),
-        )
-    )
-
-
 def encode_plan(plan: Plan) -> bytes:
     """Return the plan as JSON."""
     return _PLAN.dump_json(plan, indent=1)
@@ -231,11 +247,32 @@
     except ValidationError as error:
         raise ValueError(describe_validation_error(error)) from None
     for number, trouble in enumerate(plan.troubles):
-        for field, limit in (("daemon", plan.daemons), ("host", plan.hosts)):
-            value = getattr(trouble, field, 0)
+        for field, value, limit in _numbers_of(trouble, plan):
             if value >= limit:
                 raise ValueError(
                     f"troubles.{number}.{field}: must be less than {limit}, as many as "
                     f"the plan has, not {value}"
                 )
     return plan
+
+
+def _numbers_of(trouble: Trouble, plan: Plan) -> Iterator[tuple[str, int, int]]:
+    """Yield the numbers of daemons, hosts and zones with their fields and limits."""
+    limits = {"daemon": plan.daemons, "host": plan.hosts, "zone": plan.zones}
+    for field, limit in limits.items():
+        yield field, getattr(trouble, field, 0), limit
+    match trouble:
+        case CutOwner(daemons=daemons, hosts=hosts):
+            yield "daemons", daemons, plan.daemons
+            yield "hosts", hosts, plan.hosts + 1
+        case CutNodes(daemon_numbers=daemons, host_numbers=hosts):
+            yield from (("daemon_numbers", one, plan.daemons) for one in daemons)
+            yield from (("host_numbers", one, plan.hosts) for one in hosts)
+        case CutLink(other=other):
+            kind, _, number = other.partition("-")
+            if number:
+                yield (
+                    "other",
+                    int(number),
+                    limits["daemon" if kind == "hub" else "host"],
+                )
--- a/src/primrosehub_standins/soak/record.py
+++ b/src/primrosehub_standins/soak/record.py
@@ -69,9 +69,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Disruption:
-    """Hold a span in which a daemon, or each one with the name "", was disturbed."""
+    """Hold a span in which a node, or each one with the name "", was disturbed."""
 
-    daemon: str
+    node: str
     began_at: float
     ended_at: float
     what: str
@@ -98,10 +98,10 @@
     asked_at: float = 0.0
     looked_until: float = 0.0
 
-    def in_touch(self, daemon: str, at: float) -> bool:
-        """Tell whether a daemon was undisturbed for the contact window before."""
+    def in_touch(self, node: str, at: float) -> bool:
+        """Tell whether a node was undisturbed for the contact window before."""
         return not any(
-            one.daemon in ("", daemon)
+            one.node in ("", node)
             and one.began_at <= at
             and one.ended_at > at - CONTACT_WINDOW_S
             for one in self.disruptions
--- a/testing/builders/soak.py
+++ b/testing/builders/soak.py
@@ -1,11 +1,13 @@
 """Build records of a soak, and the plans of one."""
 
+from primrosehub_standins.soak.plan import CutNodes, CutOwner, CutZone
 from primrosehub_standins.soak.record import Disruption, Record, Run, SentJob
 
 JOB = "5c0e7a21d94b36f8"
 
 
 def a_sent_job(job=JOB, **fields):
+    """Return an accepted job of two steps; what is shown last is shown to the end."""
     values = {
         "tasks": (1, 1),
         "cpu_m": (1000, 1000),
@@ -27,8 +29,13 @@
     return Run(host=host, started_at=started_at, ended_at=ended_at, how=how, **values)
 
 
-def a_disruption(began_at, ended_at, daemon="hub-0"):
-    return Disruption(daemon, began_at, ended_at, "killed")
+def a_disruption(began_at, ended_at, node="hub-0"):
+    return Disruption(node, began_at, ended_at, "killed")
+
+
+def an_isolation(kind, **fields):
+    """Return the part of a plan's file that lists one isolation."""
+    return {"troubles": [{"kind": kind, "at_s": 1, "for_s": 12} | fields]}
 
 
 def a_record(*entries, **fields):
@@ -44,3 +51,15 @@
         capacity_m=8000,
         **(looks | fields),
     )
+
+
+def a_cut_zone(zone, **fields):
+    return CutZone(1.0, zone, 12.0, **fields)
+
+
+def a_cut_owner(daemons, hosts, **fields):
+    return CutOwner(1.0, daemons, hosts, 12.0, **fields)
+
+
+def a_cut_nodes(daemons, hosts, **fields):
+    return CutNodes(1.0, daemons, hosts, 12.0, **fields)
--- a/testing/standins/test_soak.py
+++ b/testing/standins/test_soak.py
@@ -1,3 +1,6 @@
+from itertools import pairwise
+from typing import get_args
+
 import orjson
 import pytest
 from testing.builders.soak import (
@@ -7,14 +10,16 @@
     a_record,
     a_run,
     a_sent_job,
+    an_isolation,
 )
 
 from primrosehub_standins.soak.checker import find_breaches
+from primrosehub_standins.soak.draw import TEARDOWN_S, draw_plan
 from primrosehub_standins.soak.main import EXIT_BAD_PLAN, soak
 from primrosehub_standins.soak.plan import (
+    Isolation,
     KillOwner,
     Plan,
-    draw_plan,
     encode_plan,
     read_plan,
 )
@@ -35,6 +40,11 @@
 
 BROKEN = {
     "TWICE": [
+        # No disruption excuses it.
+        a_record(
+            *(a_run(), a_run(1.5, 2.5, host="i-1", attempt=2, epoch=2)),
+            *(a_disruption(0.0, 9.0), a_disruption(0.0, 9.0, "i-0")),
+        ),
         a_record(a_run(), a_run(1.5, 2.5, host="i-1", attempt=2)),
         a_record(a_run(noted_at=9.0), a_run(3.0, 4.0, attempt=2)),
     ],
@@ -44,6 +54,7 @@
         a_record(CANCELLED, a_run(4.1, 5.0)),
         a_record(CANCELLED, a_run(4.1, 5.0), a_disruption(0.5, 1.0)),
         a_record(CANCELLED, a_run(4.1, 5.0), a_disruption(4.0, 5.0, "hub-1")),
+        a_record(CANCELLED, a_run(4.1, 5.0), a_disruption(0.5, 1.0, "i-0")),
     ],
     "REFUSED": [a_record(a_sent_job(accepted_at=None, rejected=True), a_run())],
     "ORDER": [a_record(a_run(), a_run(1.9, 3.0, step=1))],
@@ -86,6 +97,7 @@
         a_record(CANCELLED, a_run(4.1, 5.0), a_disruption(0.5, 1.2)),
         a_record(CANCELLED, a_run(4.1, 5.0), a_disruption(4.0, 5.0)),
         a_record(CANCELLED, a_run(4.1, 5.0), a_disruption(4.0, 5.0, "")),
+        a_record(CANCELLED, a_run(4.1, 5.0), a_disruption(4.0, 5.0, "i-0")),
     ],
     "REFUSED": [a_record(a_sent_job(accepted_at=None), a_run())],
     "ORDER": [a_record(a_run(), a_run(2.0, 3.0, step=1))],
@@ -104,6 +116,9 @@
             *(a_run(90.0, 104.0), a_run(104.0, 107.1, step=1)),
         ),
         a_record(a_late_job(), a_run(90.0, 101.0), a_run(101.0, 102.0, step=1)),
+        # It waited before the question, and may wait after the last look.
+        a_record(a_late_job(), a_run(90.0, 98.0), a_run(102.9, 108.0, step=1)),
+        a_record_beside(1, a_late_job(later_state="running"), a_run(90.0, 107.1)),
         a_record_beside(7999, a_late_job(tasks=(1,), cpu_m=(4001,), after=((),))),
         a_record_beside(8000, a_late_job(tasks=(1,), cpu_m=(4000,), after=((),))),
         a_record_beside(
@@ -156,6 +171,22 @@
             {"troubles": [{"kind": "stop-daemon", "at_s": 1, "daemon": 3}]},
             "troubles.0.daemon: must be less than 3",
         ),
+        (an_isolation("cut-zone", zone=1), "troubles.0.zone: must be less than 1"),
+        (an_isolation("cut-zone", zone=0, for_s=31), "less than or equal to 30"),
+        (an_isolation("cut-zone", zone=0, direction="up"), "direction: "),
+        (an_isolation("cut-owner", daemons=3, hosts=0), "daemons: must be less than 3"),
+        (an_isolation("cut-owner", daemons=0, hosts=9), "hosts: must be less than 9"),
+        (
+            an_isolation("cut-nodes", daemon_numbers=[0, 3], host_numbers=[]),
+            "daemon_numbers: must be less than 3",
+        ),
+        (
+            an_isolation("cut-nodes", daemon_numbers=[0], host_numbers=[8]),
+            "host_numbers: must be less than 8",
+        ),
+        (an_isolation("cut-link", daemon=0, other="hub-3"), "other: must be less than"),
+        (an_isolation("cut-link", daemon=0, other="i-8"), "other: must be less than 8"),
+        (an_isolation("cut-link", daemon=0, other="moon"), "other: "),
     ],
 )
 def test_a_plan_that_can_not_be_played_is_rejected_in_one_line(
@@ -169,6 +200,21 @@
     assert words in line
 
 
+def test_isolations_of_a_seed_follow_each_other_within_the_run():
+    plan = draw_plan(7, 120.0, daemons=6)
+    isolations = [one for one in plan.troubles if isinstance(one, Isolation)]
+    assert isolations
+    for one, following in pairwise(isolations):
+        assert one.at_s + one.for_s < following.at_s
+    assert isolations[-1].at_s + isolations[-1].for_s <= 120.0 - TEARDOWN_S
+
+
+def test_all_kinds_of_isolation_are_drawn():
+    plans = [draw_plan(seed, 60.0, daemons=6) for seed in range(20)]
+    drawn = {type(one) for plan in plans for one in plan.troubles}
+    assert drawn >= set(get_args(Isolation))
+
+
 def test_a_missing_plan_and_a_size_beyond_its_bounds_are_rejected(tmp_path, capsys):
     assert soak(plan=tmp_path / "none.json") == EXIT_BAD_PLAN
     assert soak(daemons=41) == EXIT_BAD_PLAN
