--- a/src/primrosehub_standins/soak/checker.py
+++ b/src/primrosehub_standins/soak/checker.py
@@ -78,9 +78,7 @@
         yield Breach("REFUSED", run.task, f"{_start(run)}; every attempt was rejected")
     if job.cancelled_at is None or run.started_at <= job.cancelled_at + CANCEL_S:
         return
-    # A host that was cut off may have got the order late.
-    nodes = (record.owners.get(run.epoch, ""), run.host)
-    if all(record.in_touch(node, run.started_at) for node in nodes):
+    if record.in_touch(record.owners.get(run.epoch, ""), run.started_at):
         yield Breach(
             "UNASKED", run.task, f"{_start(run)}; cancelled at {job.cancelled_at:.3f}"
         )
