Give each wait for an earlier owner an end

Callers could see jobs that never start: after a take-over that misses a host, tasks that may run there wait for half of the voters; if these were lost for good, for 600 s, and without an end if all were. Found by the reviewer, whose test has both voters of two and one host lost for good. Cause: one long limit for any missing voter, and none while all agree. Change: an owner that the store does not confirm stops the sooner the more voters it misses (30 s; 600 s without up to a tenth of a large cell; 3,600 s with all), and a successor waits for the limit of those that know it.

--- a/src/primrosehub/policy/isolation.py
+++ b/src/primrosehub/policy/isolation.py
@@ -4,6 +4,9 @@
 needs more than half of them, and a successor relies on at least half of them, so one
 voter is in both groups. A voter that knows the higher epoch does not confirm the lower
 one any more, not even after a restart, since it reads the row before it confirms.
+
+A successor that fewer voters know waits for as long as an owner that misses those may
+go on. So each wait has an end, also if the other voters are lost for good.
 """
 
 from __future__ import annotations
@@ -12,9 +15,12 @@
 from dataclasses import dataclass
 
 CONFIRMATION_VALID_S = 2.0  # orders are sent for this long after a confirmation
-# An owner that misses a voter stops this long after the store's last confirmation. It
-# ends the wait of a successor that half of the voters never hear.
-MAX_UNSTORED_S = 600.0
+# How long an owner goes on after the store's last confirmation, by how many voters it
+# misses. A large cell nearly always misses a few.
+ALL_VOTERS_LIMIT_S = 3600.0
+FEW_MISSING_LIMIT_S = 600.0
+MANY_MISSING_LIMIT_S = 30.0
+FEW_MISSING_SHARE = 0.1
 MIN_DAEMON_CLOCK_RATE = 0.98  # of a daemon's clock, compared with another's
 VOTER_SILENT_S = 120.0  # after which a daemon is no voter any more
 
@@ -59,19 +65,31 @@
     return Unconfirmed(confirming)
 
 
-def orders_end_at(voters: Set[str], informed_at: Mapping[str, float]) -> float:
-    """Return from when no earlier owner sends orders, infinity if nothing tells yet.
+def limit_s(missing: int, count: int) -> float:
+    """Return how long an owner that misses some of the voters goes on unconfirmed."""
+    if 2 * missing >= count:
+        return 0.0
+    if missing == 0:
+        return ALL_VOTERS_LIMIT_S
+    if missing <= FEW_MISSING_SHARE * count:
+        return FEW_MISSING_LIMIT_S
+    return MANY_MISSING_LIMIT_S
+
+
+def orders_end_at(
+    voters: Set[str], informed_at: Mapping[str, float], began_at: float
+) -> float:
+    """Return from when no earlier owner sends orders.
 
-    ``informed_at`` holds when each daemon was known to know the present epoch.
+    ``informed_at`` holds when each daemon was known to know the epoch of the present
+    owner, whose term began at ``began_at``. No informed voter confirms an earlier one.
     """
-    times = sorted(informed_at[name] for name in voters if name in informed_at)
-    half = (len(voters) + 1) // 2
-    if not times:
-        return float("inf")
-    at = times[0] + MAX_UNSTORED_S / MIN_DAEMON_CLOCK_RATE
-    if len(times) >= half:
-        at = min(at, times[half - 1])
-    return at + CONFIRMATION_VALID_S
+    times = [began_at]
+    times += sorted(informed_at[name] for name in voters if name in informed_at)
+    return CONFIRMATION_VALID_S + min(
+        at + limit_s(informed, len(voters)) / MIN_DAEMON_CLOCK_RATE
+        for informed, at in enumerate(times)
+    )
 
 
 def next_voters(
@@ -87,6 +105,4 @@
 
 
 def _suffices(voters: Set[str], agreeing: Set[str], store_age_s: float) -> bool:
-    if voters <= agreeing:
-        return bool(voters)
-    return store_age_s < MAX_UNSTORED_S and 2 * len(voters & agreeing) > len(voters)
+    return store_age_s < limit_s(len(voters - agreeing), len(voters))
--- a/src/primrosehub/services/names/cluster.py
+++ b/src/primrosehub/services/names/cluster.py
@@ -131,7 +131,7 @@
 
     @property
     def earlier_orders_end_at(self) -> float:
-        """Return from when no earlier owner sends orders, infinity if not known."""
+        """Return from when no earlier owner sends orders."""
 
     def may_order(self, epoch: int) -> bool:
         """Return whether this epoch was confirmed recently enough to send orders."""
--- a/src/primrosehub/services/ownership.py
+++ b/src/primrosehub/services/ownership.py
@@ -140,8 +140,9 @@
 
     @property
     def earlier_orders_end_at(self) -> float:
-        """Return from when no earlier owner sends orders, infinity if not known."""
-        return orders_end_at(set(self._row.voters), self._informed_at)
+        """Return from when no earlier owner sends orders."""
+        voters = set(self._row.voters)
+        return orders_end_at(voters, self._informed_at, self._term_began_at)
 
     def may_order(self, epoch: int) -> bool:
         """Return whether this epoch was confirmed recently enough to send orders."""
--- a/testing/policy/test_isolation.py
+++ b/testing/policy/test_isolation.py
@@ -5,8 +5,10 @@
 import pytest
 
 from primrosehub.policy.isolation import (
+    ALL_VOTERS_LIMIT_S,
     CONFIRMATION_VALID_S,
-    MAX_UNSTORED_S,
+    FEW_MISSING_LIMIT_S,
+    MANY_MISSING_LIMIT_S,
     VOTER_SILENT_S,
     ConfirmedByStore,
     ConfirmedByVoters,
@@ -17,6 +19,7 @@
 )
 
 NAMES = ("a", "b", "c", "d", "e", "f", "g")
+NAMES_OF_MANY = tuple(f"hub-{number}" for number in range(44))
 UNSTORED_S = 10.0
 
 
@@ -31,8 +34,8 @@
     return not isinstance(confirmation, Unconfirmed)
 
 
-def ended(voters, informed, now):
-    return orders_end_at(voters, dict.fromkeys(informed, 0.0)) <= now
+def ended_at(voters, informed):
+    return orders_end_at(set(voters), dict.fromkeys(informed, 0.0), 0.0)
 
 
 def test_the_store_alone_confirms_for_as_long_as_orders_are_valid():
@@ -42,26 +45,43 @@
     assert not confirmed(voters, {"a"}, CONFIRMATION_VALID_S)
 
 
+# An owner that the store has confirmed last when the next one took over, at 0 s.
 @pytest.mark.parametrize("count", range(1, 8))
-def test_no_owner_is_confirmed_by_voters_of_whom_half_know_a_later_one(count):
+def test_no_owner_is_confirmed_once_its_successor_takes_it_for_stopped(count):
     voters = set(NAMES[:count])
     for informed in groups(voters):
-        waited_s = CONFIRMATION_VALID_S + MAX_UNSTORED_S / 2
-        if ended(voters, informed, waited_s):
-            assert not confirmed(voters, voters - informed)
+        last_s = ended_at(voters, informed) - CONFIRMATION_VALID_S
+        assert not confirmed(voters, voters - informed, last_s + CONFIRMATION_VALID_S)
+
+
+def test_the_wait_has_an_end_however_many_voters_are_lost():
+    for count in (1, 2, 6, 44):
+        for informed in range(count + 1):
+            waited_s = ended_at(NAMES_OF_MANY[:count], NAMES_OF_MANY[:informed])
+            assert waited_s <= 1.1 * ALL_VOTERS_LIMIT_S
+
+
+@pytest.mark.parametrize(
+    ("count", "missing", "limit_s"),
+    [
+        (6, 0, ALL_VOTERS_LIMIT_S),
+        (6, 1, MANY_MISSING_LIMIT_S),
+        (6, 2, MANY_MISSING_LIMIT_S),
+        (44, 4, FEW_MISSING_LIMIT_S),
+        (44, 5, MANY_MISSING_LIMIT_S),
+    ],
+)
+def test_an_owner_stops_the_sooner_the_more_voters_it_misses(count, missing, limit_s):
+    voters = set(NAMES_OF_MANY[:count])
+    agreeing = set(NAMES_OF_MANY[: count - missing])
+    assert confirmed(voters, agreeing, limit_s - 0.1)
+    assert not confirmed(voters, agreeing, limit_s)
 
 
 @pytest.mark.parametrize("count", range(1, 8))
-def test_no_owner_goes_on_for_ever_while_a_voter_knows_a_later_one(count):
-    voters = set(NAMES[:count])
-    for informed in groups(voters):
-        if informed:
-            assert ended(voters, informed, 1.1 * MAX_UNSTORED_S)
-            assert not confirmed(voters, voters - informed, MAX_UNSTORED_S)
-
-
-def test_all_voters_confirm_an_owner_without_limit():
-    assert confirmed({"a", "b"}, {"a", "b", "c"}, 10 * MAX_UNSTORED_S)
+def test_half_of_the_voters_confirm_no_owner(count):
+    voters = NAMES[:count]
+    assert not confirmed(set(voters), set(voters[: count // 2]))
 
 
 @pytest.mark.parametrize("count", range(1, 8))
@@ -77,12 +97,12 @@
 def test_a_successor_needs_no_more_than_half_of_the_voters(count):
     voters = NAMES[:count]
     informed = voters[: (count + 1) // 2]
-    assert ended(set(voters), informed, CONFIRMATION_VALID_S)
+    assert ended_at(voters, informed) == CONFIRMATION_VALID_S
 
 
 def test_daemons_that_are_no_voters_count_for_nobody():
     assert not confirmed({"a", "b", "c"}, {"a", "x", "y"})
-    assert not ended({"a", "b", "c"}, {"x", "y"}, float("1e9"))
+    assert ended_at({"a", "b", "c"}, {"x", "y"}) == ended_at({"a", "b", "c"}, set())
 
 
 def test_no_voter_confirms_an_owner_whose_row_has_none():
@@ -98,7 +118,8 @@
 
 def test_the_wait_for_earlier_owners_begins_when_the_last_needed_voter_knows():
     informed_at = {"a": 1.0, "b": 7.0, "c": 9.0}
-    assert orders_end_at({"a", "b", "c"}, informed_at) == 7.0 + CONFIRMATION_VALID_S
+    ended = orders_end_at({"a", "b", "c"}, informed_at, 0.0)
+    assert ended == 7.0 + CONFIRMATION_VALID_S
 
 
 def test_a_silent_voter_stays_for_a_time_and_a_new_daemon_is_one_at_once():
