Begin a new epoch after a hand-over that was not stored

Callers could see a task run twice: a daemon whose hand-over the store refused ends its term, reads its own name in the row and begins a second term with the same epoch. Hosts can't tell a late order of the first from one of the second, and both number attempts alike. Cause: a row that names this daemon was taken for its take-over of unknown outcome. Change: an epoch that this daemon has held is not resumed; it takes over with the next one. Measured: test_a_daemon_that_could_not_hand_over_begins_a_new_epoch and test_a_start_of_before_a_failed_hand_over_runs_nothing_twice failed before and pass.

--- a/src/primrosehub/services/ownership.py
+++ b/src/primrosehub/services/ownership.py
@@ -94,6 +94,7 @@
         self._row = OwnerRow(0, "", "")
         self._version = ABSENT
         self._leading = False
+        self._held_epoch = 0
         self._confirmed_at = float("-inf")
         self._logged_confirmation: tuple[int, type] = (0, Unconfirmed)
         self._voters_in_doubt: frozenset[str] | None = None
@@ -535,7 +536,9 @@
         if row.epoch > self._row.epoch or row.incarnation != self._row.incarnation:
             log("owner_seen", epoch=row.epoch, owner=row.name, by="store")
         self._note_owner(row)
-        if row.incarnation == self._peering.own_card.incarnation:
+        # A term that this daemon has ended is not resumed: its orders may arrive late.
+        own = row.incarnation == self._peering.own_card.incarnation
+        if own and row.epoch > self._held_epoch:
             self._begin_term(sent)
 
     def _take_over(self) -> None:
@@ -574,6 +577,7 @@
             return
         self._leading = True
         self._confirmed_at = confirmed_at
+        self._held_epoch = self._row.epoch
         self._term_began_at = steady_s()
         self._informed_at = {self._peering.own_card.name: self._term_began_at}
         self._metrics.gauge("leading", 1)
--- /dev/null
+++ b/testing/hub/test_terms.py
@@ -0,0 +1,123 @@
+"""What an earlier term leaves behind: its leases, its late orders and its epoch."""
+
+import gevent
+import pytest
+
+from primrosehub.core.rows import StoreRefused
+from primrosehub.services.names import cluster
+from primrosehub_standins.hub_cell import find_double_runs
+from primrosehub_standins.row_store import EndpointState
+from primrosehub_standins.worker_host import WorkerHostStandin
+
+JUST_SENT_S = 0.03
+
+
+# Guards against a lease that lasts longer than a successor waits for it.
+@pytest.mark.parametrize("answer_delay_s", [0.0, 0.6])
+def test_a_successor_waits_for_the_lease_of_a_host_that_answers_late(
+    start_hubs, monkeypatch, answer_delay_s
+):
+    renewed_at = delay_reports(monkeypatch, answer_delay_s)
+    cell = start_hubs(hubs=3, hosts=2)
+    first = cell.leader()
+    with_tasks, other = cell.hosts
+    jobs = [cell.submit(first, spec="run 30") for _ in range(6)]
+    cell.until(lambda: len(cell.journal) == len(jobs), "the jobs did not start")
+    staying = [hub for hub in cell.hubs if hub is not first]
+    with_tasks.reachable_epochs, other.reachable_epochs = [1], [2]
+    taking_over = []
+    for hub in staying:
+        cut_off_before_take_over(cell, first, hub, with_tasks, renewed_at, taking_over)
+    cell.separate([first], staying)
+    second = cell.until(
+        lambda: next((hub for hub in staying if hub.leading), None), "none took over"
+    )
+    keep_confirmed(second)
+    gevent.sleep(11.0)
+    assert find_double_runs(cell.journal) == []
+
+
+def delay_reports(monkeypatch, answer_delay_s):
+    """Let hosts answer each renewal late; return when each was renewed last."""
+    renewed_at = {}
+    hold = WorkerHostStandin._hold
+
+    def hold_late(host, body):
+        if body.get("deadline-ms"):
+            renewed_at[host.host] = host.clock_ms
+        answer = hold(host, body)
+        if body.get("deadline-ms"):
+            gevent.sleep(answer_delay_s)
+        return answer
+
+    monkeypatch.setattr(WorkerHostStandin, "_hold", hold_late)
+    return renewed_at
+
+
+def cut_off_before_take_over(cell, owner, hub, host, renewed_at, taking_over):
+    """Cut the owner off from the store just before the first daemon follows it."""
+    ownership = hub.kernel.find(cluster.OWNERSHIP)
+    take_over = ownership._take_over
+
+    def cut_off_and_take_over():
+        if not taking_over:
+            taking_over.append(hub)
+            cell.until(
+                lambda: host.clock_ms - renewed_at[host.host] < 1000 * JUST_SENT_S,
+                "the host is not renewed",
+            )
+            owner.kernel.find(cluster.OWNERSHIP).confirm()
+            owner.store_endpoint.state = EndpointState.SILENT
+            take_over()
+
+    ownership._take_over = cut_off_and_take_over
+
+
+def keep_confirmed(hub):
+    """Read the owner's row all the time, as a busy owner does."""
+    ownership = hub.kernel.find(cluster.OWNERSHIP)
+
+    def confirm():
+        while hub.leading:
+            ownership.confirm()
+            gevent.sleep(0.05)
+
+    gevent.spawn(confirm)
+
+
+# Guards against two terms with one epoch, which no host can tell apart.
+def test_a_daemon_that_could_not_hand_over_begins_a_new_epoch(start_hubs, monkeypatch):
+    cell = start_hubs(hubs=2)
+    owner = cell.leader()
+    ownership = owner.kernel.find(cluster.OWNERSHIP)
+    epoch = ownership.known_owner.epoch
+
+    with monkeypatch.context() as patch:
+        patch.setattr(owner.kernel.find(cluster.STORE), "commit", refuse)
+        ownership._hand_over()
+    assert cell.leader().kernel.find(cluster.OWNERSHIP).known_owner.epoch > epoch
+
+
+# Guards against a late order of a term that a second one of its epoch can't refuse.
+def test_a_start_of_before_a_failed_hand_over_runs_nothing_twice(
+    start_hubs, monkeypatch
+):
+    cell = start_hubs(hubs=2, hosts=2)
+    owner = cell.leader()
+    for host in cell.hosts:
+        host.starts_to_delay, host.start_delay_s = 1, 1.2
+    cell.submit(owner, spec="run 5")
+    cell.until(lambda: not all(host.starts_to_delay for host in cell.hosts), "no order")
+    for host in cell.hosts:
+        if not host.starts_to_delay:
+            cell.list_host(host, "draining")  # so that the other gets the next start
+        host.starts_to_delay = 0
+    with monkeypatch.context() as patch:
+        patch.setattr(owner.kernel.find(cluster.STORE), "commit", refuse)
+        owner.kernel.find(cluster.OWNERSHIP)._hand_over()
+    gevent.sleep(3.0)
+    assert find_double_runs(cell.journal) == []
+
+
+def refuse(transaction):
+    raise StoreRefused("busy")
