Show that a start that arrives after a restart runs beside another

What callers would see: TWICE; a task runs on a restarted host and on another.

The clock starts anew with an incarnation, so a start that was meant for the last one is not late for the next; its id is the same, and the fence too. The owner frees the task when it sees the restart, as if the order could no longer arrive.

Whether the platform carries an order over a restart isn't said: "It then holds and knows nothing of before" speaks of what the executor has received, not of what is on its way.

--- a/src/primrosehub_standins/worker_host.py
+++ b/src/primrosehub_standins/worker_host.py
@@ -78,6 +78,7 @@
     """Run commands by waiting; ``crash`` begins a new incarnation of the host.
 
     A connection belongs to the incarnation that it first reached, and ends with it.
+    Delayed starts are lost at a crash unless ``delayed_starts_outlast_crash`` is set.
     """
 
     host: str
@@ -88,6 +89,7 @@
     lose_answers: int = 0  # starts and stops to apply without an answer
     start_delay_s: float = 0.0
     starts_to_delay: int = 0
+    delayed_starts_outlast_crash: bool = False
     fail_all: bool = False
     hang_all: bool = False
     draining: bool = False
@@ -154,7 +156,7 @@
             self.starts_to_delay -= 1
             gevent.spawn_later(
                 self.start_delay_s,
-                self._start_if_same_incarnation,
+                self._start_delayed,
                 self._incarnation,
                 body,
             )
@@ -174,8 +176,8 @@
             raise CloseConnection
         return reply_json(start, answer | {"clock-ms": self.clock_ms}, status)
 
-    def _start_if_same_incarnation(self, incarnation: int, body: Any) -> None:
-        if incarnation == self._incarnation:
+    def _start_delayed(self, incarnation: int, body: Any) -> None:
+        if incarnation == self._incarnation or self.delayed_starts_outlast_crash:
             self._start(body)
 
     def _start(self, body: Any) -> tuple[str, dict[str, Any]]:
--- a/testing/hub/test_host_restarts.py
+++ b/testing/hub/test_host_restarts.py
@@ -1,6 +1,7 @@
 """Worker hosts that restart under their id while an owner or an order is behind."""
 
 import gevent
+import pytest
 
 from primrosehub.kernel.clock import steady_s
 from primrosehub.services.names import cluster
@@ -64,3 +65,25 @@
     cell.until(restarting.running, "the restarted host got no start")
     for job in jobs:
         cell.wait_for(cell.leader(), job, "completed")
+
+
+# Guards against starting a task elsewhere while an order for it may still arrive. The
+# owner looks at the restarted host after 0.25 s, so the orders arrive before and after.
+@pytest.mark.parametrize("delay_s", [0.1, 0.6, 2.0])
+def test_a_start_that_arrives_after_a_restart_runs_beside_no_other(start_hubs, delay_s):
+    cell = start_hubs(hosts=2)
+    for host in cell.hosts:
+        host.starts_to_delay, host.start_delay_s = 1, delay_s
+        host.delayed_starts_outlast_crash = True
+    gevent.sleep(delay_s)  # the new clock is behind the last one when orders arrive
+    job = cell.submit(cell.leader(), WHOLE_HOST, spec="run 4")
+    restarting = cell.until(
+        lambda: next((h for h in cell.hosts if not h.starts_to_delay), None),
+        "no start was sent",
+    )
+    for host in cell.hosts:
+        host.starts_to_delay = 0
+    cell.list_host(restarting, state="draining")  # so the task starts elsewhere
+    restarting.crash()
+    cell.wait_for(cell.leader(), job, "completed", 20.0)
+    assert find_double_runs(cell.journal) == []
