Stop unanswered starts on the next incarnation before freeing their tasks

Cause: at a restart the owner freed all tasks of the host, since none of them could be on the new incarnation. That holds for starts that were answered. An unanswered one may still be on its way: the host's id and the fence let it pass, and its time limit is on another clock, which on a young one is far ahead.

Change: rule 5, that an unanswered start is stopped until the host answers, goes on over a restart. A task with such a start is kept, the new incarnation is told to stop the attempt, and it is freed by the end, or by a report sent after that answer, as before. What the first look lists is kept too, which covers late starts of earlier owners, as the look installs the fence against those that arrive later. If the host falls silent before it answers, its tasks wait for the longest lease that a start could get that arrives within LATE_START_S, 5 s.

Why it works: PROTOCOL.md, "Any run that is not higher than a run stopped or ended there will also be rejected".

What remains: a host that restarts twice while an order is on its way; an order of an earlier owner that reaches a second incarnation before the new owner's look; a hold that is carried out by a later incarnation, whose ack-cursor forgets ends that nobody has read. The last has no remedy on our side, as no call can name an incarnation whose id stays.

--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -11,6 +11,7 @@
 from gevent.queue import Queue
 
 from primrosehub.core.fleet import (
+    HostReport,
     OrderDone,
     OrderNotSent,
     OrderOutcome,
@@ -40,6 +41,8 @@
 LEASE_S = 6.0  # outlasts a take-over (3 s) and a pause of all daemons
 MIN_HOST_CLOCK_RATE = 0.98  # host seconds per second of this daemon's clock
 START_ORDER_VALID_S = 1.5  # hosts refuse start orders that arrive later
+# How late a start may arrive at a later incarnation, whose clock is another.
+LATE_START_S = 5.0
 REPORT_WAIT_S = 1.0  # how long a host may delay its report while no attempt ends
 REPORT_TIMEOUT_S = 1.0  # in addition to the requested delay of the report
 ORDER_TIMEOUT_S = 0.8
@@ -266,7 +269,7 @@
             return
         reading = _ClockReading(report.clock_ms, sent_at, received_at)
         if not self._is_known_incarnation(report.born_ms):
-            self._note_restart(report.born_ms, reading)
+            self._note_restart(report, reading)
         elif not self.reached:
             self._note_new_incarnation()
         self._born_ms, self._clock_reading = report.born_ms, reading
@@ -307,16 +310,38 @@
     def _is_known_incarnation(self, born_ms: int) -> bool:
         return not self._born_ms or born_ms == self._born_ms
 
-    def _note_restart(self, born_ms: int, reading: _ClockReading) -> None:
-        """Begin anew with another incarnation, which runs nothing of this owner's."""
-        log("host_reborn", host=self.host, born=born_ms)
+    def _note_restart(self, report: HostReport, reading: _ClockReading) -> None:
+        """Begin anew with another incarnation, which lists what it runs.
+
+        Starts that the last one left unanswered may still arrive, so their tasks are
+        stopped here before they are freed.
+        """
+        log("host_reborn", host=self.host, born=report.born_ms)
         self.client.abort()
         self.client = self._new_client()
         self.last_received_end = self.last_stored_end = 0
-        self._max_lease_until_ms = 0
-        self._born_ms, self._clock_reading = born_ms, reading
+        self._born_ms, self._clock_reading = report.born_ms, reading
         self._note_new_incarnation()
-        self._term.host_lost_tasks(self, "restarted")
+        listed = {(run.task, run.attempt) for run in report.running}
+        kept = [
+            task
+            for task in self.assigned_tasks
+            if task.start_in_doubt or (task.id, task.attempt) in listed
+        ]
+        self._max_lease_until_ms = self._latest_lease_of_late_start_ms() if kept else 0
+        self._term.host_lost_tasks(self, "restarted", kept)
+        for task in kept:
+            if task.start_in_doubt:
+                task.stop_answered_at = None
+                self.stop(task, "start unanswered before a restart")
+
+    def _latest_lease_of_late_start_ms(self) -> int:
+        """Return until when a start meant for an earlier incarnation may hold a lease.
+
+        It was valid until a time on another clock, so it counts as valid now.
+        """
+        latest_start_ms = self._clock_reading.latest_ms(steady_s() + LATE_START_S)
+        return latest_start_ms + self._term.max_lease_ms
 
     def _note_new_incarnation(self) -> None:
         self._incarnation_seen_at = steady_s()
@@ -337,7 +362,7 @@
         if self._is_known_incarnation(report.born_ms):
             return True
         reading = _ClockReading(report.clock_ms, sent_at, steady_s())
-        self._note_restart(report.born_ms, reading)
+        self._note_restart(report, reading)
         return False
 
     def _send_order(self, send: Callable[[HostClient], OrderOutcome]) -> OrderOutcome:
@@ -392,8 +417,11 @@
             return
         order = self._build_start_order(task)
         sent_at = steady_s()
+        task.start_in_doubt = True
         outcome = self._send_order(lambda client: client.start(order, ORDER_TIMEOUT_S))
-        if isinstance(outcome, OrderUnanswered):
+        if not isinstance(outcome, OrderUnanswered):
+            task.start_in_doubt = False
+        else:
             log("start_unanswered", **_attempt_fields(task), host=self.host)
             # The host may still carry out the order. Unless a repeated order is done,
             # only a stop makes sure that the attempt does not run.
--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -46,9 +46,11 @@
 
     ``host`` is set while an attempt may use resources on that host.
     ``possibly_started`` is set while an attempt of an earlier owner may be running on a
-    host that has not reported yet. ``missing`` counts the host's consecutive reports
-    without the started attempt, ``stuck_attempts`` the attempts that this owner has
-    stopped as stuck. Times are on this owner's monotonic clock.
+    host that has not reported yet. ``start_in_doubt`` is set while a start order of the
+    attempt has got no answer, so that it may still arrive. ``missing`` counts the
+    host's consecutive reports without the started attempt, ``stuck_attempts`` the
+    attempts that this owner has stopped as stuck. Times are on this owner's monotonic
+    clock.
     """
 
     id: TaskId
@@ -60,6 +62,7 @@
     checkpoint: str = ""
     failed_on: set[str] = field(default_factory=set)
     possibly_started: bool = False
+    start_in_doubt: bool = False
     started_at: float = 0.0
     percent: float = 0
     percent_at: float = 0.0
@@ -250,7 +253,7 @@
     def bind(self, task: TaskRun, host: str, attempt: int, phase: TaskPhase) -> None:
         """Assign an attempt of a task to a host and count its need for the team."""
         task.host, task.attempt, task.phase = host, attempt, phase
-        task.possibly_started = False
+        task.possibly_started = task.start_in_doubt = False
         task.stop_answered_at, task.missing = None, 0
         task.percent, task.first_percent = 0, -1
         task.resumed = bool(task.checkpoint) or phase is TaskPhase.RUNNING
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import replace
 
 import gevent
@@ -56,8 +57,8 @@
         self.config = kernel.find(CLUSTER_CONFIG)
         self.advising = kernel.find(ADVISING)
         self.metrics = kernel.find(METRICS)
-        max_lease_ms = kernel.settings.bounds.max_lease_ms
-        self.lease_ms = min(int(LEASE_S * 1000), max_lease_ms)
+        self.max_lease_ms = kernel.settings.bounds.max_lease_ms
+        self.lease_ms = min(int(LEASE_S * 1000), self.max_lease_ms)
         self.drain_s = kernel.settings.bounds.host_drain_ms / 1000
         self.stop_timeout_s = kernel.settings.bounds.stop_timeout_ms / 1000
         self.book = JobBook(epoch)
@@ -232,16 +233,25 @@
         if session.leaves_at is None:
             session.leaves_at = steady_s() + self.drain_s
 
-    def host_lost_tasks(self, session: HostSession, reason: str) -> None:
-        """Free all tasks of a host on which they no longer run, once that is confirmed.
+    def host_lost_tasks(
+        self, session: HostSession, reason: str, kept: Collection[TaskRun] = ()
+    ) -> None:
+        """Free all tasks of a host but ``kept``, once that is confirmed.
 
-        A later owner may have reached the host before they lapsed, and keep them
-        running, or know what the host has done since. So the store has to confirm,
-        by a later request, that there is none.
+        They no longer run there. But a later owner may have reached the host before
+        they lapsed, and keep them running, or know what the host has done since. So the
+        store has to confirm, by a later request, that there is none.
         """
-        lost, now = list(session.assigned_tasks), steady_s()
-        log("host_lost_work", host=session.host, tasks=len(lost), reason=reason)
-        session.assigned_tasks.clear()
+        now = steady_s()
+        lost = [task for task in session.assigned_tasks if task not in kept]
+        log(
+            "host_lost_work",
+            host=session.host,
+            tasks=len(lost),
+            kept=len(kept),
+            reason=reason,
+        )
+        session.assigned_tasks = dict.fromkeys(kept)
         session.untracked_attempts.clear()
         for task in lost:
             for stop in apply_end(self.book, task, EndKind.LAPSED, session.host, ""):
