Forget the end of an earlier incarnation, test hosts reached late

What callers would see: tasks stopped on a host that has just begun to drain, and run again elsewhere, or wait.

Cause: leaves_at, when a draining host leaves, outlived a restart under the same id, and a drain sets it only if there is none. Found while reading for what outlives an incarnation.

Change: it is forgotten with the incarnation.

Evidence: test_a_host_that_drains_again_after_a_restart_keeps_its_tasks failed before (the job was stopped and not completed within 10 s) and passes.

Also test_a_host_reached_late_gets_starts_once_the_store_has_confirmed, for the first look of a term: failed on (the host ran a task while the store was away for all) and passes with. test_host_restarts.py: 7 passed.

--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -320,6 +320,7 @@
         self.client.abort()
         self.client = self._new_client()
         self.last_received_end = self.last_stored_end = 0
+        self.leaves_at = None
         self._born_ms, self._clock_reading = report.born_ms, reading
         self._note_new_incarnation()
         listed = {(run.task, run.attempt) for run in report.running}
--- a/testing/hub/test_host_restarts.py
+++ b/testing/hub/test_host_restarts.py
@@ -87,3 +87,42 @@
     restarting.crash()
     cell.wait_for(cell.leader(), job, "completed", 20.0)
     assert find_double_runs(cell.journal) == []
+
+
+# Guards against a rule for restarts only: a host that a new owner reaches late may have
+# forgotten the fence of one that has followed since.
+def test_a_host_reached_late_gets_starts_once_the_store_has_confirmed(start_hubs):
+    cell = start_hubs(hubs=3, hosts=2)
+    late, other = cell.hosts
+    late.silent = True
+    cell.leader().kill()
+    owner = cell.leader()
+    jobs = [cell.submit(owner, WHOLE_HOST, spec="run 4") for _ in range(2)]
+    cell.until(other.running, "no job started")
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.BUSY
+    gevent.sleep(0.5)
+    late.silent = False
+    gevent.sleep(1.5)
+    assert not late.running()
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.OPEN
+    cell.until(late.running, "the host that was reached late got no start")
+    for job in jobs:
+        cell.wait_for(owner, job, "completed")
+
+
+# Guards against taking the end of an earlier incarnation for that of the next.
+def test_a_host_that_drains_again_after_a_restart_keeps_its_tasks(start_hubs):
+    cell = start_hubs(hosts=1)
+    (host,) = cell.hosts
+    cell.list_host(host, state="draining")
+    gevent.sleep(cell.hubs[0].settings.bounds.host_drain_ms / 1000)
+    host.crash()
+    cell.list_host(host)
+    task = {"count": 1, "cpu": 1000, "estimated-runtime-ms": 1000}
+    job = cell.submit(cell.leader(), task, spec="run 1")
+    cell.until(lambda: cell.starts(job), "the job did not start")
+    cell.list_host(host, state="draining")
+    cell.wait_for(cell.leader(), job, "completed")
+    assert len(cell.starts(job)) == 1
