Settle a term only once the store has confirmed the owner since the last list

Callers could see a task run twice: an owner that is replaced before it has settled, and goes on with more than half of the daemons, reaches the last host after this has restarted. Its empty list settles the term, and the task that the later owner had found there starts elsewhere. Cause: a list was taken for proof that nothing else runs; a restarted host has forgotten what it ran, and the fence of the later owner. Change: a term settles after a confirmation by the store that was requested after the last first list, and an attempt that an incarnation does not list is freed after the same. Measured: test_a_replaced_owner_frees_nothing_by_the_list_of_a_restarted_host failed before and passes; test_host_restarts.py passes.

--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -74,6 +74,7 @@
         self.tasks = tasks
         self._confirm_requested = Event()
         self._lost_at: dict[TaskRun, float] = {}
+        self._hosts_changed_at = float("-inf")
         self._token_buckets: dict[str, TokenBucket] = {}
 
     @property
@@ -223,7 +224,7 @@
 
     def host_reached(self, session: HostSession) -> None:
         """Handle the first report of a host, and the first that lists all its ends."""
-        self._check_settled()
+        self._note_hosts_changed()
         self.wake()
 
     def host_draining(self, session: HostSession) -> None:
@@ -283,7 +284,7 @@
         session.close()
         if self.sessions.get(session.host) is session:
             del self.sessions[session.host]
-        self._check_settled()
+        self._note_hosts_changed()
         self.progress.wake()
 
     def _earlier_leases_expired(self) -> bool:
@@ -291,6 +292,10 @@
         expired_at = self.ownership.earlier_orders_end_at + LAST_LEASE_S
         return self.ownership.confirmed_by_store_at > expired_at
 
+    def _note_hosts_changed(self) -> None:
+        self._hosts_changed_at = steady_s()
+        self.request_confirmation()
+
     def _unreached_hosts(self) -> list[str]:
         return [host for host, one in self.sessions.items() if not one.reached]
 
@@ -305,6 +310,7 @@
                 gevent.sleep(RETRY_S)
                 self._confirm_requested.set()
             self._free_lost_tasks()
+            self._check_settled()
             self.wake()
 
     def _watch_hosts(self) -> None:
@@ -345,11 +351,15 @@
         """Free tasks that no host reported, once all hosts have listed all their ends.
 
         Once the leases of earlier owners have expired, the silent ones are left out.
+        A host may have restarted, and list nothing of what a later owner knows, so the
+        store has to confirm, by a later request, that there is none.
         """
         if self.settled or not self.loaded.is_set():
             return
-        overdue = self._earlier_leases_expired()
         confirmed_at = self.ownership.confirmed_by_store_at
+        if confirmed_at <= self._hosts_changed_at:
+            return
+        overdue = self._earlier_leases_expired()
         # Without the roster, a host that is not listed may still run tasks.
         all_known = (self.roster_known or overdue) and all(
             session.ends_listed
--- a/src/primrosehub/services/_reports.py
+++ b/src/primrosehub/services/_reports.py
@@ -183,7 +183,12 @@
 def _process_absent(
     term: OwnerTerm, session: HostSession, task: TaskRun, sent_at: float
 ) -> None:
-    """Stop or free a task whose attempt is missing from the report."""
+    """Stop or free a task whose attempt is missing from the report.
+
+    What a host has forgotten in a restart, a later owner may know.
+    """
+    if not session.incarnation_confirmed:
+        return
     answered = task.stop_answered_at
     if answered is not None:
         if sent_at > answered + term.stop_timeout_s:
--- a/testing/hub/test_isolation.py
+++ b/testing/hub/test_isolation.py
@@ -10,6 +10,7 @@
 from primrosehub_standins.hub_cell import find_double_runs, follower
 from primrosehub_standins.row_store import EndpointState
 
+PEER_DELAY_S = 0.3
 LEASES_ENDED_S = 9.0  # then a task of an owner that has stopped may run elsewhere
 
 
@@ -60,6 +61,34 @@
     assert len(cell.starts(job)) == 1
 
 
+# Guards against taking the empty list of a restarted host for that of the one before.
+def test_a_replaced_owner_frees_nothing_by_the_list_of_a_restarted_host(start_hubs):
+    cell = start_hubs(hubs=5, hosts=3)
+    first = cell.leader()
+    job = cell.submit(first, spec="run 30")
+    (start,) = cell.until(lambda: cell.starts(job), "the job did not start")
+    with_task = next(host for host in cell.hosts if host.host == start.host)
+    inside, outside = (host for host in cell.hosts if host is not with_task)
+    cell.store.remove("servers", with_task.host)  # so that it gets no more starts
+    with_task.reachable_epochs = [1, 3]
+    first.kill()
+    second = cell.leader()
+    third, *with_second = [hub for hub in cell.hubs if hub not in (first, second)]
+    gevent.sleep(1.0)  # until the second owner has reached the other hosts
+    for hub in (second, *with_second):
+        hub.store_endpoint.state = EndpointState.SILENT
+    cell.separate([second, *with_second], [third])
+    inside.reachable_epochs, outside.reachable_epochs = [2], [3]
+    cell.until(lambda: third.leading, "the third daemon did not take over")
+    gevent.sleep(1.0)  # until it has found the task
+    with_task.reachable_epochs = [2]
+    with_task.crash()
+    gevent.sleep(2.0)
+    with_task.reachable_epochs = [3]
+    gevent.sleep(3.0)
+    assert find_double_runs(cell.journal) == []
+
+
 def test_tasks_run_on_through_an_outage_of_the_store_for_all(start_hubs):
     cell = start_hubs(hubs=3)
     owner = cell.leader()
@@ -102,6 +131,25 @@
     assert not may_order(owner)
 
 
+# Guards against an owner that counts a late answer from when it came.
+def test_an_answer_of_a_peer_is_as_old_as_the_ping(start_hubs):
+    cell = start_hubs()
+    owner, peer = cell.leader(), follower(cell)
+    peering = peer.kernel.find(cluster.PEERING)
+
+    def answer_late(ping):
+        gevent.sleep(PEER_DELAY_S)
+        return peering.answer_ping(ping)
+
+    peering.register_handler(Ping, answer_late)
+    asking = owner.kernel.find(cluster.PEERING)
+    gevent.sleep(1.0)  # until no answer of before counts
+    for _ in range(100):
+        gevent.sleep(0.01)
+        assert not asking.answers(PEER_DELAY_S)
+    assert asking.answers(5 * PEER_DELAY_S)
+
+
 def test_a_restarted_daemon_confirms_no_owner_before_it_has_read_the_row(start_hubs):
     cell = start_hubs()
     owner, peer = cell.leader(), follower(cell)
