Count what may run on unreached hosts against a team's limit

Callers would see a team over its limit after a take-over that misses a host. Cause: a new owner counted only what hosts had listed. Change: until the term has settled, tasks that an earlier owner may have started count as used; they could not be started again anyway. Measured: test_a_new_owner_counts_what_may_run_on_a_host_that_it_cannot_reach failed before and passes, as do the tests of planner and job book.

--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -338,6 +338,16 @@
                     checkpoints[name] = task.checkpoint
         return JobProgress(JobState.RUNNING, done, failures, checkpoints)
 
+    def possibly_used_by_team(self) -> dict[str, Resources]:
+        """Return the needs of tasks that an earlier owner may have started."""
+        used: dict[str, Resources] = {}
+        for job in self.unfinished.values():
+            team = job.accepted.team
+            for step in job.steps.values():
+                count = sum(task.possibly_started for task in step.tasks)
+                used[team] = used.get(team, NO_RESOURCES) + step.spec.need * count
+        return used
+
     def settle(self) -> list[StopTask]:
         """Free tasks that no host runs; call this once all hosts have reported."""
         stops = []
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -24,7 +24,7 @@
 from primrosehub.policy.urgency import Urgency, critical_paths_s, objective_s, urgency
 from primrosehub.services._advice_calls import READVISE_INTERVAL_S, AdviceCalls
 from primrosehub.services._host_session import HostSession
-from primrosehub.services._job_book import JobBook, JobRun, StepRun, TaskPhase
+from primrosehub.services._job_book import JobRun, StepRun, TaskPhase
 from primrosehub.services._wait_report import WaitReport
 
 if TYPE_CHECKING:
@@ -78,7 +78,7 @@
         by_service: dict[str, list[StepRun]] = {}
         for step in steps:
             by_service.setdefault(_service_of(step, config), []).append(step)
-        quotas = _team_quotas(config, term.book)
+        quotas = _team_quotas(config, term)
         requests = []
         for service, service_steps in by_service.items():
             spaces = self._host_spaces(service, began)
@@ -210,14 +210,22 @@
     )
 
 
-def _team_quotas(config: ClusterConfig, book: JobBook) -> TeamQuotas:
+def _team_quotas(config: ClusterConfig, term: OwnerTerm) -> TeamQuotas:
+    """Return what each limited team may still start.
+
+    What may run on hosts that an unsettled term has not reached counts as used.
+    """
     limits = {
         name: team.limit
         for name, team in config.teams.items()
         if team.limit != NO_RESOURCES
     }
+    book = term.book
+    possibly = book.possibly_used_by_team() if limits and not term.settled else {}
     remaining = {
-        name: limit - book.used_by_team.get(name, NO_RESOURCES)
+        name: limit
+        - book.used_by_team.get(name, NO_RESOURCES)
+        - possibly.get(name, NO_RESOURCES)
         for name, limit in limits.items()
     }
     return TeamQuotas(remaining, limits, book.long_running_by_team)
--- a/testing/builders/planner_harness.py
+++ b/testing/builders/planner_harness.py
@@ -43,6 +43,7 @@
             metrics=FakeMetrics(),
             tasks=self.tasks,
             may_order=True,
+            settled=True,
         )
         self.term.queue_report = QueueReport(self.term)
         self.planner = Planner(self.term)
--- a/testing/hub/test_terms.py
+++ b/testing/hub/test_terms.py
@@ -119,5 +119,26 @@
     assert find_double_runs(cell.journal) == []
 
 
+# Guards against starts beyond a team's limit while a host is not reached.
+def test_a_new_owner_counts_what_may_run_on_a_host_that_it_cannot_reach(start_hubs):
+    cell = start_hubs(hubs=3, hosts=2)
+    limit = {"cpu": 2000, "mem-mb": 0, "gpu": 0}
+    team = {"name": "blue", "api-keys": ["key-of-blue"], "max-count": limit}
+    cell.configure(tenants=[team | {"weight": 50}])
+    gevent.sleep(1.0)  # until all daemons have the configuration
+    first = cell.leader()
+    before = [cell.submit(first, spec="run 30") for _ in range(2)]
+    cell.until(lambda: len(cell.journal) == len(before), "the jobs did not start")
+    used = {event.host for event in cell.journal}
+    for host in cell.hosts:
+        host.reachable_epochs = [1] if host.host in used else [2]
+    first.kill()
+    second = cell.leader()
+    for _ in range(2):
+        cell.submit(second, spec="run 30")
+    gevent.sleep(2.0)
+    assert len(cell.journal) == len(before)
+
+
 def refuse(transaction):
     raise StoreRefused("busy")
