Count leases and starts from the check that allows them

Callers could see a task run twice: a daemon that is suspended between the check of its ownership and the reading of its clock gives a whole lease, or a valid start, when it goes on, long after its last confirmation. Cause: the clock was read after the check. Change: it is read before it.

--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -232,6 +232,7 @@
 
     def _keep_lease(self) -> None:
         while not self.closed:
+            checked_at = steady_s()
             if not self._term.may_order:
                 gevent.sleep(0.05)
                 continue
@@ -240,7 +241,7 @@
             self.ends_stored.clear()
             client = self.client
             try:
-                self._renew_lease(client, wait_s)
+                self._renew_lease(client, wait_s, checked_at)
             except HostReportUnavailable as error:
                 if client is not self.client:
                     continue  # the host has restarted
@@ -253,12 +254,15 @@
                 if self.last_received_end > self.last_stored_end:
                     self.ends_stored.wait(ENDS_STORED_TIMEOUT_S)
 
-    def _renew_lease(self, client: HostClient, wait_s: float) -> None:
+    def _renew_lease(
+        self, client: HostClient, wait_s: float, checked_at: float
+    ) -> None:
+        """Renew the lease as of the time at which the ownership was checked."""
         sent_at = steady_s()
         if client.connected:
             report = client.renew_lease(
                 self.last_stored_end,
-                self._offer_lease(sent_at),
+                self._offer_lease(checked_at),
                 wait_s,
                 wait_s + REPORT_TIMEOUT_S,
             )
@@ -412,11 +416,12 @@
     def _send_start(self, task: TaskRun, attempt: int, planned_at: float) -> None:
         if not self._is_still_starting(task, attempt):
             return
+        checked_at = steady_s()
         may_start = self._term.may_order and self.incarnation_confirmed
         if not may_start or not self.answering:
             self._term.not_started(self, task, "host silent or ownership unconfirmed")
             return
-        order = self._build_start_order(task)
+        order = self._build_start_order(task, checked_at)
         sent_at = steady_s()
         task.start_in_doubt = True
         outcome = self._send_order(lambda client: client.start(order, ORDER_TIMEOUT_S))
@@ -448,11 +453,11 @@
         assigned = task.host == self.host and task.attempt == attempt
         return assigned and not self.closed and task.phase is TaskPhase.STARTING
 
-    def _build_start_order(self, task: TaskRun) -> StartOrder:
+    def _build_start_order(self, task: TaskRun, checked_at: float) -> StartOrder:
+        """Return an order that is valid as of the last check of the ownership."""
         step = task.step
         ticket = step.tickets.get(self.host)
-        now = steady_s()
-        valid_until = self._clock_reading.latest_ms(now) + int(
+        valid_until = self._clock_reading.latest_ms(checked_at) + int(
             START_ORDER_VALID_S * 1000
         )
         self._max_lease_until_ms = max(self._max_lease_until_ms, valid_until)
--- a/testing/hub/test_hosts.py
+++ b/testing/hub/test_hosts.py
@@ -8,9 +8,12 @@
 from primrosehub.kernel.clock import steady_s
 from primrosehub.platform import wire
 from primrosehub.services._host_session import LEASE_S, MIN_HOST_CLOCK_RATE
+from primrosehub.services.names import cluster
 from primrosehub_standins.hub_cell import find_double_runs
 from primrosehub_standins.row_store import EndpointState
 
+SUSPENSION_S = 1.0
+
 
 def test_tasks_on_a_host_that_a_new_owner_cannot_reach_start_nowhere_else(start_hubs):
     cell = start_hubs(hubs=3)
@@ -220,3 +223,26 @@
     killed_at = steady_s()
     cell.until(lambda: not host.running(), "the task runs on", 12.0)
     assert cell.journal[-1].at - killed_at <= LEASE_S / MIN_HOST_CLOCK_RATE
+
+
+# Guards against a lease of an owner that was suspended after it had checked its epoch.
+def test_a_lease_counts_from_the_check_of_the_ownership(start_hubs):
+    cell = start_hubs(hubs=2, hosts=1)
+    host, leader = cell.hosts[0], cell.leader()
+    job = cell.submit(leader, spec="run 30")
+    cell.until(lambda: cell.starts(job), "the job did not start")
+    ownership, checked_at = leader.kernel.find(cluster.OWNERSHIP), []
+
+    def may_order_slowly(epoch):
+        begun_at = steady_s()
+        gevent.sleep(SUSPENSION_S)
+        checked_at.append(begun_at)
+        return True
+
+    ownership.may_order = may_order_slowly
+    cell.until(lambda: len(checked_at) == 3, "no lease was renewed")
+    gevent.sleep(SUSPENSION_S / 4)
+    for hub in cell.hubs:
+        hub.kill()
+    cell.until(lambda: not host.running(), "the task runs on", 12.0)
+    assert cell.journal[-1].at - checked_at[2] <= LEASE_S / MIN_HOST_CLOCK_RATE
