--- a/model/check.py
+++ b/model/check.py
@@ -12,10 +12,10 @@
 
 import defopt
 
-from model import grants, hub, ownership
+from model import grants, hub, isolation, ownership
 from model.explore import Explored, explore
 
-SPECIFICATIONS: tuple[ModuleType, ...] = (ownership, grants, hub)
+SPECIFICATIONS: tuple[ModuleType, ...] = (ownership, grants, hub, isolation)
 
 
 def check(
