--- a/model/isolation.py
+++ b/model/isolation.py
@@ -119,6 +119,7 @@
     Scope(3, Voters({0, 1, 2})),
     Scope(3, Voters({0, 1})),
     Scope(4, Voters({0, 1, 2, 3}), max_epoch=2),
+    Scope(3, Voters({0, 1}), (Voters({2}), Voters({1, 2})), max_epoch=2),
     Scope(3, Voters({0, 1}), (Voters({2}),)),
     Scope(3, Voters({0, 1}), (Voters({1, 2}),)),
 )
