Show each confirmation before freeing, and the clock of an order, as guards

Cause: one guard stood for three places of the code, and sending was one step with the check that it is allowed. Change: settling, a silent host and a host that restarted have a guard each; an order's validity counts from the check.

--- a/model/hub.py
+++ b/model/hub.py
@@ -123,7 +123,9 @@
     ask_all_hosts_first: bool = True
     wait_for_leases_of_unreached: bool = True
     wait_for_lease_of_silent: bool = True
-    store_confirms_before_freeing: bool = True
+    store_confirms_before_settling: bool = True
+    store_confirms_before_freeing_silent: bool = True
+    store_confirms_before_freeing_lost: bool = True
     store_confirms_incarnation: bool = True
     order_names_incarnation: bool = True
     fence_before_orders: bool = True
@@ -228,7 +230,7 @@
         )
         return
     owner = _see(owner, host_number, host.incarnation)
-    if owner.lost and not guards.store_confirms_before_freeing:
+    if owner.lost and not guards.store_confirms_before_freeing_lost:
         owner = _unbind(owner)
     if host.running_attempt and owner.bound_host == -1:
         owner = owner._replace(bound_host=host_number, attempt=host.running_attempt)
@@ -289,7 +291,7 @@
     owner = state.owners[number]
     if owner.settled:
         return
-    if owner.epoch != state.epoch and guards.store_confirms_before_freeing:
+    if owner.epoch != state.epoch and guards.store_confirms_before_settling:
         return
     for host in HOSTS:
         if owner.seen[host] != UNSEEN or not guards.wait_for_leases_of_unreached:
@@ -314,7 +316,7 @@
     owner = state.owners[number]
     if owner.bound_host != host_number:
         return
-    if owner.epoch != state.epoch and guards.store_confirms_before_freeing:
+    if owner.epoch != state.epoch and guards.store_confirms_before_freeing_silent:
         return
     if guards.wait_for_lease_of_silent:
         if _may_hold_leases(state, owner, host_number):
--- a/model/isolation.py
+++ b/model/isolation.py
@@ -45,7 +45,8 @@
     the store confirmed it within 2 s, ``recent`` that it did within 600 s. ``answers``
     are the daemons whose answers of the last 2 s confirm it, ``old_answers`` those that
     answered before the wait of the current owner began. ``told`` are the daemons that
-    have told it that they know its epoch.
+    have told it that they know its epoch. ``checked`` is set only where the validity of
+    an order doesn't count from the check that it may be sent.
     """
 
     epoch: int
@@ -61,6 +62,7 @@
     settled: bool = False
     reached_host: bool = False
     confirmed_host: bool = False
+    checked: bool = False
 
 
 class Daemon(NamedTuple):
@@ -141,6 +143,7 @@
     one_told_before_long_wait: bool = True
     wait_for_confirmations: bool = True
     wait_for_leases: bool = True
+    validity_counts_from_check: bool = True
     store_confirms_before_freeing: bool = True
     keep_voters_at_take_over: bool = True
     settle_before_changing_voters: bool = True
@@ -164,6 +167,7 @@
                 yield from _confirm_deposed(state, number, other, guards)
             yield from _wait(state, number, guards)
             yield from _settle(state, number, guards)
+            yield from _check(state, number, guards)
             yield from _order(state, number, guards)
             yield from _reach(state, number)
             yield from _change_voters(state, number, guards)
@@ -379,12 +383,27 @@
     yield f"leases lapse, daemon {number} settles", freed
 
 
+def _check(state: State, number: int, guards: Guards) -> Iterator[tuple[str, State]]:
+    """Yield that an owner checks that it may order, to send the order later.
+
+    While the validity of an order counts from the check, this is one step with sending.
+    """
+    owner = state.daemons[number].owner
+    if guards.validity_counts_from_check or owner.checked:
+        return
+    if may_order(number, owner, guards):
+        yield (
+            f"daemon {number} checks that it may order",
+            _set_owner(state, number, owner._replace(checked=True)),
+        )
+
+
 def _order(state: State, number: int, guards: Guards) -> Iterator[tuple[str, State]]:
     owner, host = state.daemons[number].owner, state.host
     ready = owner.confirmed_host or not guards.store_confirms_incarnation
     if not owner.reached_host or not ready or owner.epoch < host.fence:
         return
-    if not may_order(number, owner, guards):
+    if not (owner.checked or may_order(number, owner, guards)):
         return
     late = owner.epoch < state.epoch and _current_wait(state) == CONFIRMATIONS_ENDED
     orders = host.orders | {Order(owner.epoch, late)}
