--- a/model/hub.py
+++ b/model/hub.py
@@ -121,6 +121,7 @@
     scope: Scope
 
     ask_all_hosts_first: bool = True
+    # Relies on the stop of earlier owners, which model/isolation.py shows.
     wait_for_leases_of_unreached: bool = True
     wait_for_lease_of_silent: bool = True
     store_confirms_before_settling: bool = True
@@ -296,8 +297,8 @@
     for host in HOSTS:
         if owner.seen[host] != UNSEEN or not guards.wait_for_leases_of_unreached:
             continue
-        # model/isolation.py shows that earlier owners have stopped once the wait of
-        # the current owner is over, so none is left that may still send an order.
+        # The wait of the current owner is over only when no earlier one may send an
+        # order any more: this is what model/isolation.py shows.
         if any(0 < other.epoch < owner.epoch for other in state.owners):
             return
         if _may_hold_leases(state, owner, host):
--- a/model/isolation.py
+++ b/model/isolation.py
@@ -3,7 +3,8 @@
 There are a few daemons, some of which are voters, and one worker host, which stands for
 all that a successor may fail to reach. Any message may be late or lost, so isolation is
 a choice of the explorer, as are restarts: a daemon or host that restarts has forgotten
-all that it knew. Each daemon name belongs to one process at a time.
+all that it knew. Each daemon name belongs to one process at a time, and an order names
+the incarnation of its host.
 
 There are no clocks. "2 s pass" ends all confirmations of before the wait of the current
 owner, and "leases lapse" ends all orders of before that; both are steps that a wait
@@ -133,22 +134,26 @@
 
     scope: Scope
 
+    # When an owner that the store does not confirm may send orders:
     majority_confirms: bool = True
     only_voters_count: bool = True
     end_without_unanimity: bool = True
     answers_count_from_request: bool = True
     higher_epoch_does_not_confirm: bool = True
     read_store_before_confirming: bool = True
+    validity_counts_from_check: bool = True
+    # When a successor may free what may run on a host that it has not reached:
     half_told_before_short_wait: bool = True
     one_told_before_long_wait: bool = True
     wait_for_confirmations: bool = True
     wait_for_leases: bool = True
-    validity_counts_from_check: bool = True
     store_confirms_before_freeing: bool = True
+    # How the voters change:
     keep_voters_at_take_over: bool = True
     settle_before_changing_voters: bool = True
     change_voters_conditionally: bool = True
     both_sets_confirm_while_unknown: bool = True
+    # A host that restarts has forgotten the fence:
     store_confirms_incarnation: bool = True
 
 
@@ -443,18 +448,11 @@
 def _change_voters(
     state: State, number: int, guards: Guards
 ) -> Iterator[tuple[str, State]]:
+    """Yield the steps of a write whose outcome the owner does not know at first."""
     owner = state.daemons[number].owner
     if owner.proposed is None:
-        if owner.settled or not guards.settle_before_changing_voters:
-            for voters in guards.scope.other_voters:
-                if voters != owner.voters:
-                    proposed = owner._replace(proposed=voters)
-                    yield (
-                        f"daemon {number} writes voters {sorted(voters)}",
-                        _set_owner(state, number, proposed),
-                    )
-        return
-    if owner.proposal_stored:
+        yield from _write_voters(state, number, guards)
+    elif owner.proposal_stored:
         known = owner._replace(
             voters=owner.proposed, proposed=None, proposal_stored=False
         )
@@ -470,6 +468,20 @@
         )
 
 
+def _write_voters(
+    state: State, number: int, guards: Guards
+) -> Iterator[tuple[str, State]]:
+    owner = state.daemons[number].owner
+    if not owner.settled and guards.settle_before_changing_voters:
+        return
+    for voters in guards.scope.other_voters:
+        if voters != owner.voters:
+            yield (
+                f"daemon {number} writes voters {sorted(voters)}",
+                _set_owner(state, number, owner._replace(proposed=voters)),
+            )
+
+
 def _set_owner(state: State, number: int, owner: Owner) -> State:
     return _set_daemon(state, number, state.daemons[number]._replace(owner=owner))
 
