Acknowledge ends once, and count leases of late holds

Cause: a hold is under way nearly always, so also at a restart. Carried out late by the next incarnation, its ack-cursor is of other ends, and its deadline-ms, on a young clock, is cut only by hold-limit-ms, while the owner counts what it offered to this incarnation.

Change: a hold carries an ack-cursor only if it acknowledges something new, else 0, as the look does. After a restart the lease counts as ended no sooner than 5 s (LATE_CALL_S) and a longest lease after the first look, for all tasks, not only those with an unanswered start.

What it costs: tasks of a host that falls silent within 9 s of its restart wait up to 15 s instead of 6 s. What remains: a hold with a new acknowledgement that is under way at a restart.

--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -41,8 +41,8 @@
 LEASE_S = 6.0  # outlasts a take-over (3 s) and a pause of all daemons
 MIN_HOST_CLOCK_RATE = 0.98  # host seconds per second of this daemon's clock
 START_ORDER_VALID_S = 1.5  # hosts refuse start orders that arrive later
-# How late a start may arrive at a later incarnation, whose clock is another.
-LATE_START_S = 5.0
+# How late a call may arrive at a later incarnation, whose clock is another.
+LATE_CALL_S = 5.0
 REPORT_WAIT_S = 1.0  # how long a host may delay its report while no attempt ends
 REPORT_TIMEOUT_S = 1.0  # in addition to the requested delay of the report
 ORDER_TIMEOUT_S = 0.8
@@ -133,6 +133,7 @@
         self.answering = False
         self.last_received_end = 0
         self.last_stored_end = 0
+        self._last_acked_end = 0
         self.ends_stored = Event()
         self._born_ms = 0
         self._clock_reading: _ClockReading | None = None
@@ -259,9 +260,14 @@
     ) -> None:
         """Renew the lease as of the time at which the ownership was checked."""
         sent_at = steady_s()
+        acked_end = 0
         if client.connected:
+            # A hold is under way nearly always, and one that arrives after a restart
+            # would acknowledge ends of the next incarnation, so none is repeated.
+            if self.last_stored_end > self._last_acked_end:
+                acked_end = self.last_stored_end
             report = client.renew_lease(
-                self.last_stored_end,
+                acked_end,
                 self._offer_lease(checked_at),
                 wait_s,
                 wait_s + REPORT_TIMEOUT_S,
@@ -271,6 +277,7 @@
         received_at = steady_s()
         if self.closed or client is not self.client:
             return
+        self._last_acked_end = max(self._last_acked_end, acked_end)
         reading = _ClockReading(report.clock_ms, sent_at, received_at)
         if not self._is_known_incarnation(report.born_ms):
             self._note_restart(report, reading)
@@ -323,7 +330,7 @@
         log("host_reborn", host=self.host, born=report.born_ms)
         self.client.abort()
         self.client = self._new_client()
-        self.last_received_end = self.last_stored_end = 0
+        self.last_received_end = self.last_stored_end = self._last_acked_end = 0
         self.leaves_at = None
         self._born_ms, self._clock_reading = report.born_ms, reading
         self._note_new_incarnation()
@@ -333,20 +340,20 @@
             for task in self.assigned_tasks
             if task.start_in_doubt or (task.id, task.attempt) in listed
         ]
-        self._max_lease_until_ms = self._latest_lease_of_late_start_ms() if kept else 0
+        self._max_lease_until_ms = self._latest_lease_of_late_call_ms()
         self._term.host_lost_tasks(self, "restarted", kept)
         for task in kept:
             if task.start_in_doubt:
                 task.stop_answered_at = None
                 self.stop(task, "start unanswered before a restart")
 
-    def _latest_lease_of_late_start_ms(self) -> int:
-        """Return until when a start meant for an earlier incarnation may hold a lease.
+    def _latest_lease_of_late_call_ms(self) -> int:
+        """Return until when a call meant for an earlier incarnation may give a lease.
 
-        It was valid until a time on another clock, so it counts as valid now.
+        Its time limit is on another clock, so only the host's own limit holds.
         """
-        latest_start_ms = self._clock_reading.latest_ms(steady_s() + LATE_START_S)
-        return latest_start_ms + self._term.max_lease_ms
+        latest_call_ms = self._clock_reading.latest_ms(steady_s() + LATE_CALL_S)
+        return latest_call_ms + self._term.max_lease_ms
 
     def _note_new_incarnation(self) -> None:
         self._incarnation_seen_at = steady_s()
--- a/testing/hub/test_host_restarts.py
+++ b/testing/hub/test_host_restarts.py
@@ -8,7 +8,7 @@
 from primrosehub.services.names import cluster
 from primrosehub_standins.hub_cell import find_double_runs
 from primrosehub_standins.row_store import EndpointState
-from primrosehub_standins.worker_host import ALL_EPOCHS
+from primrosehub_standins.worker_host import ALL_EPOCHS, MAX_LEASE_MS
 
 CONFIRMATION_ENDED_S = 2.5  # then an owner that is cut off sends no more orders
 WHOLE_HOST = {"count": 1, "cpu": 8000, "mem-mb": 64}
@@ -145,3 +145,19 @@
     host.silent = False
     cell.wait_for(cell.leader(), job, "completed")
     assert len(cell.starts(job)) == 1
+
+
+# Guards against taking a lease for ended that a late hold gave to a later incarnation.
+def test_a_task_moves_only_after_the_lease_of_a_hold_that_arrived_late(start_hubs):
+    cell = start_hubs(hosts=2)
+    restarting, other = cell.hosts
+    cell.list_host(other, state="draining")
+    cell.until(lambda: restarting.clock_ms > MAX_LEASE_MS / 2, "the clock stands")
+    restarting.crash()
+    job = cell.submit(cell.leader(), WHOLE_HOST, spec="run 30")
+    cell.until(lambda: cell.starts(job), "the job did not start")
+    restarting.silent = True
+    restarting.receive_late_hold()
+    cell.list_host(other)
+    cell.until(other.running, "the task did not move", 25.0)
+    assert find_double_runs(cell.journal) == []
