Cut zones, nodes and single links also while there is no owner

Cause: the play of each isolation asked for the owner first and left out all of them while there was none. Change: only cut-owner needs one.

--- a/src/primrosehub_standins/soak/cell.py
+++ b/src/primrosehub_standins/soak/cell.py
@@ -206,10 +206,12 @@
                 self.cell.configure(routes=[self.cell.route("others")])
                 gevent.sleep(for_s)
                 self.cell.configure()
-            case CutZone() | CutOwner() | CutNodes() | CutLink():
+            case CutOwner():
                 owner = self.owner()
                 if owner is not None:
                     self._cut_links(trouble, owner.name)
+            case CutZone() | CutNodes() | CutLink():
+                self._cut_links(trouble)
 
     def _chosen(self, number: int) -> list[DaemonProcess]:
         return self.daemons if number == ALL_DAEMONS else [self.daemons[number]]
@@ -269,7 +271,7 @@
             daemon.endpoint.answer_delay_s = 0.0
         self._note_disruption("", began_at, "store slow")
 
-    def _cut_links(self, trouble: Isolation, owner: str) -> None:
+    def _cut_links(self, trouble: Isolation, owner: str = "") -> None:
         near, cut = cut_of(trouble, self._nodes, owner)
         touched = [daemon for daemon in self.daemons if daemon.name in near]
         began_at = steady_s()
--- a/src/primrosehub_standins/soak/isolation.py
+++ b/src/primrosehub_standins/soak/isolation.py
@@ -48,7 +48,7 @@
 def cut_of(
     isolation: Isolation, nodes: Nodes, owner: str
 ) -> tuple[frozenset[str], Cut]:
-    """Return the nodes that are cut off, and the cut."""
+    """Return the nodes that are cut off, and the cut; ``owner`` is for CutOwner."""
     match isolation:
         case CutZone(zone=zone):
             members = nodes.daemons + nodes.hosts
