--- a/testing/builders/cluster.py
+++ b/testing/builders/cluster.py
@@ -120,6 +120,12 @@
     return ReceivedPong(pong, age_s, leaving_s)
 
 
+def pongs_that_know(names, epoch, incarnation):
+    """Return pongs of daemons that know this owner."""
+    seen = OwnerSeen(epoch, incarnation, "hub-1")
+    return [Pong(a_peer_card(name), seen, 1, True) for name in names]
+
+
 def an_older_builds_news(name, address, incarnation=None, **state):
     """Return the body of a ping or pong, without fields that came later."""
     values = {
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -5,10 +5,17 @@
 import gevent
 from gevent.event import Event
 
+from primrosehub.border.codec import decode, encode
 from primrosehub.core.batch import JobState
 from primrosehub.core.fleet import Advice
-from primrosehub.core.peering import AdviceIs
+from primrosehub.core.peering import AdviceIs, OwnerRow
 from primrosehub.core.resources import total
+from primrosehub.core.rows import (
+    StoredRow,
+    StoreOutcomeUnknown,
+    StoreRefused,
+    TransactionApplied,
+)
 from primrosehub.core.rules import Configuration
 from primrosehub.core.table import (
     ABSENT,
@@ -21,6 +28,7 @@
 from primrosehub.policy.host_pace import HostPace
 from primrosehub.services.names.cluster import PeerSilent
 from primrosehub.services.names.v1 import Keys
+from primrosehub.services.ownership import OWNER_KEY
 
 
 class FakeTable:
@@ -179,6 +187,29 @@
         gevent.killall(self._running)
 
 
+class FakeOwnerStore:
+    """Return the row of the owner and apply its writes, or lose what is said to it."""
+
+    reached_directly = True
+
+    def __init__(self, row):
+        self.row = row
+        self.version = 1
+        self.lost = False
+
+    def read_one(self, key):
+        if self.lost:
+            raise StoreRefused("away")
+        return StoredRow(OWNER_KEY, encode(self.row), self.version)
+
+    def commit(self, transaction):
+        if self.lost:
+            raise StoreOutcomeUnknown("away")
+        self.row = decode(OwnerRow, transaction.writes[0].value)
+        self.version += 1
+        return TransactionApplied(self.version)
+
+
 class FakePeering:
     """Answer calls for advice with none allowed, but for silent peers."""
 
