Look for lost tasks that may start again also without a request

A task that a host has lost started again only with the next requested confirmation; an error there, or a store that refuses reads but not writes, kept it waiting. Change: each look at the hosts does it too.

--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -264,6 +264,7 @@
         self.request_confirmation()
 
     def _free_lost_tasks(self) -> None:
+        """Let tasks start again that were lost before the last confirmation."""
         confirmed_at = self.ownership.confirmed_by_store_at
         for task, lost_at in list(self._lost_at.items()):
             if lost_at < confirmed_at:
@@ -330,6 +331,7 @@
                     log("host_dropped", host=session.host)
                     self.host_lost_tasks(session, "gone")
                     self._drop_session(session)
+            self._free_lost_tasks()
             self._check_settled()
 
     def _evacuate(self, session: HostSession, now: float) -> None:
--- a/testing/hub/test_isolation.py
+++ b/testing/hub/test_isolation.py
@@ -89,6 +89,18 @@
     assert find_double_runs(cell.journal) == []
 
 
+# Guards against freeing by time what a later owner has found and keeps running.
+def test_a_replaced_owner_frees_no_task_of_a_host_that_fell_silent(start_hubs):
+    cell = start_hubs(hubs=5, hosts=2)
+    first, *others = sorted(cell.hubs, key=lambda hub: not hub.leading)
+    job = cell.submit(first, spec="run 30")
+    (start,) = cell.until(lambda: cell.starts(job), "the job did not start")
+    cell.cut_off([first, *others[:2]], [h for h in cell.hosts if h.host != start.host])
+    gevent.sleep(13.0)
+    assert first.leading
+    assert len(cell.starts(job)) == 1
+
+
 def test_tasks_run_on_through_an_outage_of_the_store_for_all(start_hubs):
     cell = start_hubs(hubs=3)
     owner = cell.leader()
