Count the lease that an earlier owner has given from the first look at a host

Callers could see a task run twice: a host that a new owner has looked at and that then falls silent before its first renewal had no lease in the owner's books, so the tasks found there started elsewhere at once, while the earlier owner's lease ran on for up to 6 s. Change: from the first look on, the longest lease that an earlier owner can have given counts. Measured: test_a_host_lost_after_the_first_look_keeps_the_lease_of_the_earlier_owner failed before (the task runs on both hosts) and passes.

--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -283,6 +283,8 @@
             self._note_restart(report, reading)
         elif not self.reached:
             self._note_new_incarnation()
+            # An earlier owner may have given a lease until just before this look.
+            self._max_lease_until_ms = report.clock_ms + self._term.lease_ms
         self._born_ms, self._clock_reading = report.born_ms, reading
         if not self.answering:
             self.answering = True
--- a/testing/hub/test_terms.py
+++ b/testing/hub/test_terms.py
@@ -4,6 +4,7 @@
 import pytest
 
 from primrosehub.core.rows import StoreRefused
+from primrosehub.platform.hosts import HostClient
 from primrosehub.services.names import cluster
 from primrosehub_standins.hub_cell import find_double_runs
 from primrosehub_standins.row_store import EndpointState
@@ -140,5 +141,41 @@
     assert len(cell.journal) == len(before)
 
 
+class FirstCallOf:
+    """Say that a host is reached by epoch 1, and once by epoch 2."""
+
+    def __init__(self):
+        self.calls = 0
+
+    def __contains__(self, epoch):
+        self.calls += epoch > 1
+        return epoch <= 1 or self.calls == 1
+
+
+# Guards against taking a host's lease for ended that an earlier owner has given it.
+def test_a_host_lost_after_the_first_look_keeps_the_lease_of_the_earlier_owner(
+    start_hubs, monkeypatch
+):
+    cell = start_hubs(hubs=2, hosts=2)
+    first = cell.leader()
+    job = cell.submit(first, spec="run 30")
+    (start,) = cell.until(lambda: cell.starts(job), "the job did not start")
+    with_task = next(host for host in cell.hosts if host.host == start.host)
+    gevent.sleep(1.0)
+    with_task.reachable_epochs = FirstCallOf()
+    look = HostClient.look
+
+    def look_and_disconnect(client, timeout_s):
+        report = look(client, timeout_s)
+        if report.running:
+            client.close()
+        return report
+
+    monkeypatch.setattr(HostClient, "look", look_and_disconnect)
+    first.kill()
+    cell.until(lambda: len(cell.starts(job)) == 2, "the task did not move", 15.0)
+    assert find_double_runs(cell.journal) == []
+
+
 def refuse(transaction):
     raise StoreRefused("busy")
