Keep the ownership while the store is away from a hand-over for slowness

Callers could see running work stopped: a daemon that hands over as it is slow ended its term first, and if the store goes away just then it stayed the owner without a term, so that leases lapsed. Change: it asks the store first, and goes on without an answer.

--- a/src/primrosehub/services/ownership.py
+++ b/src/primrosehub/services/ownership.py
@@ -275,6 +275,13 @@
         return Leaving(now - self._leaving_since, self._leaves_at - now)
 
     def _hand_over(self) -> None:
+        """Release the ownership; one that stays goes on while the store is away."""
+        try:
+            if not self._released:
+                self.confirm()
+        except StoreRefused as error:
+            log("ownership_not_released", reason=str(error))
+            return
         try:
             self._flush()
             with self._lock:
--- a/testing/hub/test_isolation.py
+++ b/testing/hub/test_isolation.py
@@ -6,7 +6,9 @@
 from primrosehub.border.codec import encode
 from primrosehub.border.frames import FrameClient
 from primrosehub.core.peering import Ping
+from primrosehub.services import peering as peering_service
 from primrosehub.services.names import cluster
+from primrosehub.services.peering import PING_TIMEOUT_S
 from primrosehub_standins.hub_cell import find_double_runs, follower
 from primrosehub_standins.row_store import EndpointState
 
@@ -61,8 +63,11 @@
     assert len(cell.starts(job)) == 1
 
 
-# Guards against taking the empty list of a restarted host for that of the one before.
-def test_a_replaced_owner_frees_nothing_by_the_list_of_a_restarted_host(start_hubs):
+# Guards against taking what a new incarnation says for news of the one before.
+@pytest.mark.parametrize("new_id", ["", "i-9"])
+def test_a_replaced_owner_frees_nothing_by_what_a_restarted_host_says(
+    start_hubs, new_id
+):
     cell = start_hubs(hubs=5, hosts=3)
     first = cell.leader()
     job = cell.submit(first, spec="run 30")
@@ -83,7 +88,8 @@
     gevent.sleep(1.0)  # until it has found the task
     with_task.reachable_epochs = [2]
     with_task.crash()
-    gevent.sleep(2.0)
+    with_task.host = new_id or with_task.host
+    gevent.sleep(3.0)
     with_task.reachable_epochs = [3]
     gevent.sleep(3.0)
     assert find_double_runs(cell.journal) == []
@@ -118,6 +124,35 @@
         assert len(cell.starts(job)) == 1
 
 
+# Guards against an owner that stops as it asks most of many daemons too seldom.
+def test_an_owner_of_many_daemons_goes_on_without_the_store(start_hubs, monkeypatch):
+    monkeypatch.setattr(peering_service, "FREQUENTLY_PINGED_PEERS", 0)
+    cell = start_hubs(hubs=4)
+    ownership = cell.leader().kernel.find(cluster.OWNERSHIP)
+    cell.until(lambda: len(stored_voters(cell)) == len(cell.hubs), "not all are voters")
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.SILENT
+    for _ in range(80):
+        gevent.sleep(0.1)
+        assert ownership.may_order(ownership.known_owner.epoch)
+
+
+# Guards against tasks that wait without an end once all voters are lost for good.
+def test_jobs_run_on_after_all_voters_and_a_host_are_lost_for_good(start_hubs):
+    cell = start_hubs(hubs=2, hosts=2)
+    owner = cell.leader()
+    running = [cell.submit(owner, spec="run 3") for _ in range(8)]
+    waiting = [cell.submit(owner, spec="run 0.1") for _ in range(16)]
+    cell.until(lambda: len(cell.journal) >= len(running), "the jobs did not start")
+    for hub in cell.hubs:
+        hub.kill()
+    cell.hosts[0].lose_power()
+    cell.store.remove("servers", cell.hosts[0].host)
+    heir = cell.add_hub(2)
+    for job in running + waiting:
+        cell.wait_for(heir, job, "completed", timeout_s=40.0)
+
+
 def test_an_owner_that_reaches_too_few_voters_stops_its_orders(start_hubs):
     cell = start_hubs(hubs=4, hosts=3)
     (owner, *_), _ = start_tasks_and_cut_off(cell, hubs_with_owner=1)
@@ -207,3 +242,38 @@
     client = FrameClient(ip, int(port))
     client.call(message, 1.0)
     client.close()
+
+
+# Guards against one voter that two processes of its name cast twice.
+def test_two_daemons_of_one_name_are_not_one_voter_of_two_owners(start_hubs):
+    cell = start_hubs(hubs=3, hosts=2)
+    first = cell.leader()
+    jobs = [cell.submit(first, spec="run 30") for _ in range(6)]
+    cell.until(lambda: len(cell.journal) == len(jobs), "the jobs did not start")
+    with_first, staying = [hub for hub in cell.hubs if hub is not first]
+    cell.cut_off([first, with_first], cell.hosts[:1])
+    second = cell.add_hub(int(with_first.settings.name.removeprefix("hub-")))
+    separate_processes([first, with_first], [staying, second])
+    cell.until(lambda: staying.leading or second.leading, "none took over")
+    gevent.sleep(11.0)
+    assert find_double_runs(cell.journal) == []
+
+
+def separate_processes(*groups):
+    """Let pings reach processes of the same group only, also if names are the same."""
+    for group in groups:
+        incarnations = {
+            hub.kernel.find(cluster.PEERING).own_card.incarnation for hub in group
+        }
+        for hub in group:
+            answer_only(hub.kernel.find(cluster.PEERING), incarnations)
+
+
+def answer_only(peering, incarnations):
+    def answer(ping):
+        if ping.sender.incarnation not in incarnations:
+            gevent.sleep(PING_TIMEOUT_S)
+            raise ValueError("lost")
+        return peering.answer_ping(ping)
+
+    peering.register_handler(Ping, answer)
--- a/testing/hub/test_terms.py
+++ b/testing/hub/test_terms.py
@@ -141,6 +141,24 @@
     assert len(cell.journal) == len(before)
 
 
+# Guards against a daemon that remains the owner without a term to run the jobs.
+def test_tasks_run_on_though_the_store_is_lost_at_a_hand_over(start_hubs):
+    cell = start_hubs(hubs=3)
+    owner = cell.leader()
+    jobs = [cell.submit(owner, spec="run 16") for _ in range(4)]
+    cell.until(lambda: len(cell.journal) == len(jobs), "the jobs did not start")
+    gevent.sleep(0.5)
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.SILENT
+    gevent.spawn(owner.kernel.find(cluster.OWNERSHIP)._hand_over)
+    gevent.sleep(12.0)
+    for hub in cell.hubs:
+        hub.store_endpoint.state = EndpointState.OPEN
+    for job in jobs:
+        cell.wait_for(cell.leader(), job, "completed")
+        assert len(cell.starts(job)) == 1
+
+
 class FirstCallOf:
     """Say that a host is reached by epoch 1, and once by epoch 2."""
 
--- a/testing/policy/test_isolation.py
+++ b/testing/policy/test_isolation.py
@@ -9,6 +9,7 @@
     CONFIRMATION_VALID_S,
     FEW_MISSING_LIMIT_S,
     MANY_MISSING_LIMIT_S,
+    MIN_DAEMON_CLOCK_RATE,
     VOTER_SILENT_S,
     ConfirmedByStore,
     ConfirmedByVoters,
@@ -54,6 +55,13 @@
         assert not confirmed(voters, voters - informed, last_s + CONFIRMATION_VALID_S)
 
 
+# Guards against a successor whose clock is faster than that of the earlier owner.
+def test_the_longest_wait_allows_for_an_earlier_owner_with_a_slow_clock():
+    slow_owners_s = MANY_MISSING_LIMIT_S / MIN_DAEMON_CLOCK_RATE
+    waited_s = orders_end_at({"a", "b", "c"}, {"a": 5.0}, 5.0) - 5.0
+    assert waited_s == slow_owners_s + CONFIRMATION_VALID_S
+
+
 def test_the_wait_has_an_end_however_many_voters_are_lost():
     for count in (1, 2, 6, 44):
         for informed in range(count + 1):
--- a/testing/protocol/test_earlier_owners.py
+++ b/testing/protocol/test_earlier_owners.py
@@ -39,7 +39,9 @@
     services = {
         STORE: store,
         PEERING: peering,
-        SCHEDULER: SimpleNamespace(start_term=lambda epoch: None, settled=settled),
+        SCHEDULER: SimpleNamespace(
+            start_term=lambda epoch: None, end_term=lambda: None, settled=settled
+        ),
         METRICS: FakeMetrics(),
     }
     kernel, tasks = FakeKernel(services), FakeTasks()
@@ -100,3 +102,16 @@
         )
         gevent.sleep(CONFIRMATION_VALID_S + CHECKS_S)
         assert not ownership.may_order(2)
+
+
+# Guards against counting who knew an earlier epoch of the same daemon.
+def test_a_daemon_that_takes_over_again_waits_for_the_voters_again():
+    store = FakeOwnerStore(own_row())
+    pongs = pongs_that_know(VOTERS[1:], 2, OWN.incarnation)
+    with running(store, pongs) as (ownership, peering):
+        store.row, store.version = OwnerRow(3, "", "hub-9", voters=VOTERS), 9
+        peering.pongs = pongs_that_know(VOTERS[1:], 3, "")
+        gevent.sleep(2 * CHECKS_S)
+        assert (ownership.is_owner, store.row.epoch) == (True, 4)
+        waits_s = ownership.earlier_orders_end_at - ownership.confirmed_by_store_at
+    assert waits_s > MANY_MISSING_LIMIT_S
