--- a/src/primrosehub_standins/hub_cell.py
+++ b/src/primrosehub_standins/hub_cell.py
@@ -229,14 +229,6 @@
             for hub in group:
                 hub.hear_pings_of([one.settings.name for one in group])
 
-    def reconnect(self) -> None:
-        """Let daemons, hosts and the store reach each other again."""
-        for hub in self.hubs:
-            hub.store_endpoint.state = EndpointState.OPEN
-        self.separate(self.hubs)
-        for host in self.hosts:
-            host.reachable_epochs = ALL_EPOCHS
-
     def leader(self, timeout_s: float = 8.0) -> HubHandle:
         """Return the daemon that owns the jobs, waiting for one."""
         return self.until(
