--- a/review/8/play.py
+++ b/review/8/play.py
@@ -1,80 +1,81 @@
-"""One scheduled job takes more memory than a machine has, on each owner in turn."""
+"""With all machines replaced and a worker host lost, jobs stand still for an hour."""
 
 from __future__ import annotations
 
 from standins_2 import (  # isort: skip - patches the standard library
     BROKEN,
+    FINISH_S,
     HELD,
     Cell,
-    Daemon,
     route,
     run_case,
     tenant,
 )
 
 import sys
-import time
 from pathlib import Path
 
 import gevent
 
-MEMORY_MB = 300  # of a machine; a process that exceeds it is killed
-RESTART_S = 1.0
-TRAFFIC_S = 45.0
-MAX_ENDS = 3  # of a machine's processes, from which the rule counts the machine
-MINUTE_MS = 60_000
-OCCURRENCES = 43_200  # one a minute for thirty days
-REPORT = {"count": 10, "cpu": 3900, "mem-mb": 14_000, "estimated-runtime-ms": 2000}
-CHECK = {"count": 2, "cpu": 5600, "mem-mb": 16_000, "estimated-runtime-ms": 640}
+DAEMONS = 7
+LOST_AT_S = 15.0
+REPLACED_AFTER_S = 1.0
+SURVEY_INTERVAL_S = 0.8
+TRAFFIC_S = 25.0
+WATCH_S = 40.0  # after the end of the traffic
+SURVEY = {"count": 8, "cpu": 18_000, "mem-mb": 68_000, "estimated-runtime-ms": 4000}
 
 
 def play(case: Path, trouble: bool) -> int:
-    """Hand in a scheduled job beside ordinary ones, and end processes that grow."""
-    cell = Cell(case, hosts=7)
-    ends: dict[str, int] = {}
+    """Lose all machines and one worker host for good, and replace the machines."""
+    cell = Cell(case, hosts=12)
+
+    def send_surveys() -> None:
+        while cell.record.now < began + TRAFFIC_S:
+            gevent.spawn(cell.submit, "surveys", "blue", SURVEY, "run 4")
+            gevent.sleep(SURVEY_INTERVAL_S)
+
     try:
-        cell.configure(
-            [route("reports"), route("checks", priority=0)],
-            [tenant("blue", 30), tenant("red", 30)],
-        )
-        cell.start_daemons(4)
-        for daemon in cell.daemons:
-            gevent.spawn(_limit_memory, cell, daemon, ends)
+        cell.configure([route("surveys")], [tenant("blue", 30)])
+        cell.start_daemons(DAEMONS)
         began = cell.record.now
-        schedule = {
-            "repetitions": OCCURRENCES if trouble else 6,
-            "start-time-ms": int(time.time() * 1000) + 2000,
-            "interval-ms": MINUTE_MS,
-        }
-        cell.submit("reports", "red", REPORT, "run 2", **schedule)
-        while cell.record.now < began + TRAFFIC_S:
-            gevent.spawn(cell.submit, "checks", "blue", CHECK, "run 0.6")
-            gevent.sleep(0.25)
-        gevent.sleep(3.0)
-        checks = [sent for sent in cell.jobs.values() if sent.tenant == "blue"]
-        accepted = [sent for sent in checks if sent.accepted_at is not None]
-        cell.record.say(
-            f"of {len(checks)} checks, {len(accepted)} were accepted and "
-            f"{sum(map(cell.is_done, checks))} are done; processes that ended over the "
-            f"limit of memory: {ends}"
-        )
-        often = [name for name, count in ends.items() if count >= MAX_ENDS]
-        return BROKEN if len(often) >= 2 else HELD
+        gevent.spawn(send_surveys)
+        gevent.sleep(LOST_AT_S)
+        if trouble:
+            _lose_all(cell)
+        gevent.sleep(began + TRAFFIC_S - cell.record.now)
+        cell.record.say("traffic ends")
+        gevent.sleep(FINISH_S)
+        lost = cell.find_lost()
+        _tell(cell, lost)
+        if lost:
+            gevent.sleep(began + TRAFFIC_S + WATCH_S - cell.record.now)
+            _tell(cell, cell.find_lost())
+        for sent in lost:
+            cell.record.note("at_the_end", job=sent.job, shown=cell.ask(sent))
+        return BROKEN if lost else HELD
     finally:
         cell.close()
 
 
-def _limit_memory(cell: Cell, daemon: Daemon, ends: dict[str, int]) -> None:
-    """Kill and restart a process that exceeds the memory, as the platform does."""
-    while True:
-        gevent.sleep(0.05)
-        if daemon.running and daemon.resident_mb > MEMORY_MB:
-            size = daemon.resident_mb
-            daemon.kill()
-            ends[daemon.name] = ends.get(daemon.name, 0) + 1
-            cell.record.say(f"{daemon.name} ended with {size:.0f} MB")
-            gevent.sleep(RESTART_S)
-            daemon.start()
+def _lose_all(cell: Cell) -> None:
+    """Lose all daemons and one worker host; start daemons on as many new machines."""
+    cell.record.say("all machines and one worker host are lost for good")
+    busiest = max(cell.hosts, key=lambda host: len(host.running))
+    gevent.spawn(busiest.vanish)
+    for daemon in cell.daemons:
+        daemon.kill()
+    gevent.sleep(REPLACED_AFTER_S)
+    cell.start_daemons(DAEMONS)
+    cell.record.say("as many new machines are ready")
+
+
+def _tell(cell: Cell, lost: list) -> None:
+    accepted = [one for one in cell.jobs.values() if one.accepted_at is not None]
+    cell.record.say(
+        f"{len(accepted)} jobs accepted, {sum(map(cell.is_done, accepted))} done, "
+        f"{len(lost)} with nothing running for 3 s while there is room"
+    )
 
 
 if __name__ == "__main__":
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -421,6 +421,16 @@
         self.up = True
         self.record.note("host_is_back", host=self.name, kind=kind, born=self._born_ms)
 
+    def vanish(self) -> None:
+        """Stop for good; the platform drops the entry after three heartbeats."""
+        self.record.note("host_is_lost", host=self.name)
+        self.up = False
+        self._life += 1
+        self._runs.clear()
+        self._wake()
+        gevent.sleep(3 * HEARTBEAT_S)
+        self.store.remove("servers", self.name)
+
     def _beat(self) -> None:
         while True:
             gevent.sleep(HEARTBEAT_S)
@@ -682,9 +692,10 @@
         self.record.note("configured", version=self._version)
 
     def start_daemons(self, count: int) -> None:
-        """Start the daemons and wait until all are ready."""
+        """Start daemons, each on a new machine, and wait until they are ready."""
+        first = len(self.daemons)
         peers = [f"{IP}:{_free_port()}" for _ in range(count)]
-        for number in range(count):
+        for number in range(first, first + count):
             settings = {
                 "name": f"hub-{number}",
                 "zone": f"zone-{number % 4}",
@@ -692,7 +703,7 @@
                 "ip": IP,
                 "callers": f"{IP}:{_free_port()}",
                 "ready": f"{IP}:{_free_port()}",
-                "peer": peers[number],
+                "peer": peers[number - first],
                 "ops_ports": [_free_port()],
                 "seed_peers": peers[:3],
                 "store": self.store.address,
@@ -704,7 +715,7 @@
             daemon = Daemon(number, settings, self.folder)
             self.daemons.append(daemon)
             daemon.start()
-        self.wait_ready(self.daemons, 20.0)
+        self.wait_ready(self.daemons[first:], 20.0)
 
     def wait_ready(self, daemons: list[Daemon], limit_s: float) -> None:
         """Wait until the daemons answer the platform's readiness check."""
