--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -16,6 +16,7 @@
 import itertools  # noqa: E402
 import json  # noqa: E402
 import os  # noqa: E402
+import random  # noqa: E402
 import shutil  # noqa: E402
 import signal  # noqa: E402
 import socket  # noqa: E402
@@ -931,10 +932,11 @@
 
 
 # Below the ephemeral range, from which outgoing connections take their ports.
-_FIRST_PORT, _PORT_COUNT, _PORTS_PER_PROCESS = 20_000, 10_000, 100
+# Each script begins at another one, and a port is not used a second time.
+_FIRST_PORT, _PORT_COUNT = 20_000, 10_000
 _PORTS = (
-    _FIRST_PORT + (os.getpid() * _PORTS_PER_PROCESS + number) % _PORT_COUNT
-    for number in itertools.count()
+    _FIRST_PORT + number % _PORT_COUNT
+    for number in itertools.count(random.randrange(_PORT_COUNT))
 )
 
 
