--- a/review/9/play.py
+++ b/review/9/play.py
@@ -16,8 +16,9 @@
 
 import gevent
 
-TRAFFIC_S = 45.0
-CRASH_INTERVAL_S = 6.0
+TRAFFIC_S = 50.0
+CRASH_INTERVAL_S = 5.0
+CRASHES = 8
 DOWN_S = 1.0
 JOBS_PER_S = 14.0
 CHECK = {"count": 2, "cpu": 5600, "mem-mb": 16_000, "estimated-runtime-ms": 2000}
@@ -42,7 +43,7 @@
         while cell.record.now < began + TRAFFIC_S:
             for kind in "ab":
                 gevent.spawn(send, kind)
-            if trouble and cell.record.now > crash_at and turn < 6:
+            if trouble and cell.record.now > crash_at and turn < CRASHES:
                 host = cell.hosts[turn]
                 gevent.spawn(host.crash, DOWN_S, OTHER_KIND[host.kind])
                 crash_at, turn = crash_at + CRASH_INTERVAL_S, turn + 1
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -54,6 +54,7 @@
 WRITES_PER_S = 600
 READS_PER_S = 2000
 HEARTBEAT_S = 1.5
+REGISTER_LAG_S = 0.5  # from the start of a worker host to its entry in the store
 MAX_LEASE_MS = 10_000
 STOP_TIMEOUT_S = 0.4
 STOP_S = 0.05
@@ -421,6 +422,9 @@
         self.kind = kind
         self.up = True
         self.record.note("host_is_back", host=self.name, kind=kind, born=self._born_ms)
+        gevent.sleep(REGISTER_LAG_S)
+        if self.up:
+            self._register()
 
     def vanish(self) -> None:
         """Stop for good; the platform drops the entry after three heartbeats."""
@@ -435,7 +439,7 @@
     def _beat(self) -> None:
         while True:
             gevent.sleep(HEARTBEAT_S)
-            if self.up:
+            if self.up and time.monotonic() - self._born_at > REGISTER_LAG_S:
                 self._register()
 
     def _register(self) -> None:
