--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -261,7 +261,7 @@
             return 400, {"error": "entries"}
         for write in writes:
             if write["table-name"] in ("op", "servers"):
-                return 400, {"error": "table"}
+                return 403, {"error": "table"}
             size = len(b64decode(write["value"]))
             if size > MAX_ROW_BYTES:
                 name = f"{write['table-name']}/{write['key']}"
