--- a/src/primrosehub/services/_job_book.py
+++ b/src/primrosehub/services/_job_book.py
@@ -120,7 +120,8 @@
     ``ended_at`` when it ended and ``stored_at`` when its end was stored, 0 before.
     ``visible_state`` is the state that callers are shown, which follows ``state`` once
     it is stored. ``end_reported`` is set once a caller has been shown the end.
-    ``beyond_share`` marks a job that exceeds its team's share.
+    ``beyond_share`` marks a job that exceeds its team's share. ``has_started`` is set
+    once a host has confirmed or listed an attempt; an order alone may be refused.
     """
 
     accepted: AcceptedJob
@@ -257,7 +258,8 @@
         task.stop_answered_at, task.missing = None, 0
         task.percent, task.first_percent = 0, -1
         task.resumed = bool(task.checkpoint) or phase is TaskPhase.RUNNING
-        task.step.job.has_started = True
+        if phase is TaskPhase.RUNNING:
+            task.step.job.has_started = True
         self._add_usage(task, 1)
 
     def unbind(self, task: TaskRun) -> None:
@@ -336,7 +338,8 @@
                     failures[name] = sorted(task.failed_attempts)
                 if task.checkpoint and not task.host:
                     checkpoints[name] = task.checkpoint
-        return JobProgress(JobState.RUNNING, done, failures, checkpoints)
+        state = JobState.RUNNING if job.has_started else JobState.QUEUED
+        return JobProgress(state, done, failures, checkpoints)
 
     def possibly_used_by_team(self) -> dict[str, Resources]:
         """Return the needs of tasks that an earlier owner may have started."""
@@ -404,7 +407,7 @@
             self.open_steps.pop(_key(step), None)
 
     def _restore(self, job: JobRun, progress: JobProgress) -> None:
-        job.has_started = True
+        job.has_started = progress.state is not JobState.QUEUED
         for name, attempts in progress.failures.items():
             self._task_named(job, name).failed_attempts.update(attempts)
         for name, checkpoint in progress.checkpoints.items():
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -166,6 +166,7 @@
         if task.phase is TaskPhase.STARTING:
             task.phase = TaskPhase.RUNNING
         task.started_at, task.percent_at = sent, now
+        self.note_running(task)
         job = task.step.job
         log(
             "attempt_started",
@@ -187,6 +188,17 @@
         if job.final:
             self.stop(task, "job ended meanwhile")
 
+    def note_running(self, task: TaskRun) -> None:
+        """Record that an attempt of this owner has started; count a job's first."""
+        job = task.step.job
+        if job.has_started:
+            return
+        job.has_started = True
+        now = steady_s()
+        self.queue_report.waits.note_started(
+            job.accepted.queue, now, now - job.submitted_at
+        )
+
     def not_started(self, session: HostSession, task: TaskRun, reason: str) -> None:
         """Free the resources of an attempt that certainly did not start."""
         log("not_started", job=task.id.job, host=session.host, reason=reason)
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -24,7 +24,7 @@
 from primrosehub.policy.urgency import Urgency, critical_paths_s, objective_s, urgency
 from primrosehub.services._advice_calls import READVISE_INTERVAL_S, AdviceCalls
 from primrosehub.services._host_session import HostSession
-from primrosehub.services._job_book import JobRun, StepRun, TaskPhase
+from primrosehub.services._job_book import StepRun, TaskPhase
 from primrosehub.services._wait_report import WaitReport
 
 if TYPE_CHECKING:
@@ -165,18 +165,10 @@
                     gang_attempts[id(step)] = attempt
             step.unplaced_since = None
             session = term.sessions[placement.host]
-            if not step.job.has_started:
-                self._note_first_start(step.job)
             term.book.bind(task, session.host, attempt, TaskPhase.STARTING)
             session.assigned_tasks[task] = None
             session.start(task)
 
-    def _note_first_start(self, job: JobRun) -> None:
-        now = steady_s()
-        self._term.queue_report.waits.note_started(
-            job.accepted.queue, now, now - job.submitted_at
-        )
-
 
 def _service_of(step: StepRun, config: ClusterConfig) -> str:
     """Return the service of the step's queue.
--- a/src/primrosehub/services/_reports.py
+++ b/src/primrosehub/services/_reports.py
@@ -80,6 +80,7 @@
     term.metrics.count("attempts_ended", how=str(end.kind))
     if task.host == session.host and task.attempt == end.attempt:
         session.assigned_tasks.pop(task, None)
+        term.note_running(task)
         _update_host_statistics(term, session, task, end.kind)
         stops = apply_end(term.book, task, end.kind, session.host, end.checkpoint)
     elif task.phase is TaskPhase.DONE:
@@ -98,6 +99,7 @@
     term: OwnerTerm, task: TaskRun, end: EndedAttempt, host: str
 ) -> list:
     """Process the end of an attempt that this owner does not track."""
+    task.step.job.has_started = True
     task.attempt = max(task.attempt, end.attempt) if not task.host else task.attempt
     if end.checkpoint and not task.host and not task.checkpoint:
         task.checkpoint = end.checkpoint
@@ -152,6 +154,7 @@
     term: OwnerTerm, session: HostSession, task: TaskRun, run: RunningAttempt
 ) -> None:
     now = steady_s()
+    term.note_running(task)
     task.missing = 0
     if run.checkpoint:
         keep_checkpoint(task, run.checkpoint)
--- a/src/primrosehub_standins/worker_host.py
+++ b/src/primrosehub_standins/worker_host.py
@@ -90,6 +90,7 @@
     start_delay_s: float = 0.0
     starts_to_delay: int = 0
     delayed_starts_outlast_crash: bool = False
+    refuse_starts: bool = False  # with 503, as an unhealthy host does
     fail_all: bool = False
     hang_all: bool = False
     draining: bool = False
@@ -159,6 +160,9 @@
         if environ.get("HTTP_PRIMROSEHUB_EXPECTED_INSTANCE") != self.host:
             return reply_json(start, {}, "421 Misdirected")
         path = environ["PATH_INFO"].rpartition("/")[2]
+        if path == "run-start" and self.refuse_starts:
+            self.refusals.append("unhealthy")
+            return reply_json(start, {}, "503 Service Unavailable")
         if path == "run-start" and self.starts_to_delay:
             self.starts_to_delay -= 1
             gevent.spawn_later(
--- a/testing/hub/test_jobs.py
+++ b/testing/hub/test_jobs.py
@@ -51,6 +51,26 @@
     cell.wait_for(cell.leader(), late, "completed")
 
 
+# Guards against jobs that count as begun, here and at a take-over, though every start
+# of their tasks was refused.
+def test_jobs_whose_starts_are_refused_stay_pending(start_hubs):
+    cell = start_hubs(hosts=1)
+    (host,) = cell.hosts
+    host.refuse_starts = True
+    first, jobs = cell.leader(), [cell.submit(cell.leader()) for _ in range(3)]
+    cell.until(lambda: len(host.refusals) >= len(jobs), "no start is tried")
+    gevent.sleep(0.5)  # until the progress is stored
+    assert _pending(cell, PREFIX) == len(jobs)
+    first.kill()
+    assert cell.leader() is not first
+    cell.until(lambda: _pending(cell, PREFIX) == len(jobs), "begun at the take-over")
+    assert {cell.state(cell.leader(), job) for job in jobs} == {"queued"}
+    host.refuse_starts = False
+    for job in jobs:
+        cell.wait_for(cell.leader(), job, "completed")
+    assert _pending(cell, PREFIX) == 0
+
+
 # Guards against running a job whose cancellation the owner reads from the store first.
 def test_a_job_that_is_read_after_its_cancellation_never_starts(start_hubs):
     cell = start_hubs()
--- a/testing/protocol/test_job_book.py
+++ b/testing/protocol/test_job_book.py
@@ -109,6 +109,22 @@
     assert len(step.waiting) == 3
 
 
+# Guards against a job that counts as begun at a take-over after a refused start.
+def test_a_job_whose_only_start_was_refused_has_not_begun_after_a_take_over():
+    book = a_book()
+    task = book.task(a_task_id())
+    book.bind(task, "h1", 1, TaskPhase.STARTING)
+    end(book, task, EndKind.STOPPED)
+    assert book.waiting_in("quotes") == 1
+    assert stored_and_loaded(book, epoch=2).waiting_in("quotes") == 1
+
+
+def test_a_job_that_has_begun_stays_so_through_a_take_over():
+    book = a_book(a_step(2))
+    end(book, run(book), EndKind.LAPSED)
+    assert stored_and_loaded(book, epoch=2).waiting_in("quotes") == 0
+
+
 def test_done_tasks_stay_done_through_a_take_over():
     book = a_book(a_step(2), a_step(after=(0,)))
     end(book, run(book, 0), EndKind.DONE)
