--- a/src/primrosehub/policy/advice_need.py
+++ b/src/primrosehub/policy/advice_need.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from primrosehub.core.resources import Resources
+from primrosehub.policy.look_budget import LookBudget
 from primrosehub.policy.packing import (
     Demand,
     HostSpace,
@@ -13,7 +14,7 @@
     assign_hosts,
     candidates,
     fits_on_advised,
-    may_ever_fit,
+    keep_quota,
 )
 
 
@@ -29,37 +30,47 @@
 
 
 def advice_requests(
-    waiting: Sequence[Demand], spaces: list[HostSpace], teams: TeamQuotas
+    waiting: Sequence[Demand],
+    spaces: list[HostSpace],
+    teams: TeamQuotas,
+    budget: LookBudget | None = None,
 ) -> Iterator[AdviceRequest]:
     """Yield the requests for advice in the order of the demands.
 
     ``spaces`` and ``teams`` hold what a plan has left. Each step that may start once it
     is advised takes what it needs from them, so that no later step asks for the same.
-    What is reserved for a gang is withheld from later steps only.
+    What is reserved for a gang is withheld from later steps only. Steps beyond the
+    budget get their turn when it is used again.
     """
+    budget = budget or LookBudget()
     by_host = {space.host: space for space in spaces}
     teams = teams.copy_without_reservations()
     later = {demand.key for demand in waiting}
     widest = _widest(spaces)
-    for demand in waiting:
+    for demand in budget.each(waiting):
         later.discard(demand.key)
         if demand.allowed is None:
             continue
         count = min(len(demand.tasks), teams.max_tasks(demand.team, demand.need))
         if count == 0 or (demand.gang and count < len(demand.tasks)):
-            if demand.gang and may_ever_fit(demand, spaces):
-                teams.reserve_for(demand)
+            keep_quota(demand, spaces, teams, budget)
             continue
         hosts = []
         if demand.need.fits_in(widest):
+            budget.spend(len(spaces))
             hosts = _claim_room(demand, by_host, count, later)
         teams.take(demand.team, demand.need, len(hosts))
         if not demand.may_ask:
             continue
-        if hosts or (demand.gang and not fits_on_advised(demand, spaces)):
+        if hosts or (demand.gang and _lacks_hosts(demand, spaces, budget)):
             yield AdviceRequest(demand.key, frozenset(hosts))
 
 
+def _lacks_hosts(gang: Demand, spaces: list[HostSpace], budget: LookBudget) -> bool:
+    budget.spend(len(spaces))
+    return not fits_on_advised(gang, spaces)
+
+
 def _widest(spaces: Sequence[HostSpace]) -> Resources:
     """Return the largest free amount of each resource on any host.
 
--- a/src/primrosehub/policy/packing.py
+++ b/src/primrosehub/policy/packing.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable
+from collections.abc import Container, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
 from primrosehub.core.resources import NO_RESOURCES, Resources
+from primrosehub.policy.look_budget import LookBudget
 
-MAX_DEMANDS_PER_PLAN = 400  # keeps the making of a plan short
 QUICK_S = 1.5  # tasks with a shorter estimate go where they end soonest
 QUICK_PACE_WEIGHT = 3.0  # of slowness against free room, for quick tasks
 PACE_WEIGHT = 0.3  # the same for other tasks, for which tight packing matters most
@@ -112,11 +112,13 @@
 
     ``waiting`` holds these demands in their order, with the tasks that remain;
     ``limited`` holds the keys of those that wait because of their team's limit.
+    ``postponed`` counts the demands that are left to the next plans.
     """
 
     placements: tuple[Placement, ...]
     waiting: tuple[Demand, ...] = ()
     limited: tuple[object, ...] = ()
+    postponed: int = 0
 
 
 class TeamQuotas:
@@ -158,6 +160,10 @@
         ]
         return max(0, min(counts, default=1 << 30))
 
+    def holds_back(self, team: str) -> bool:
+        """Tell whether the rest of the team's quota is kept for a gang."""
+        return team in self._kept
+
     def take(self, team: str, need: Resources, count: int) -> None:
         """Subtract started tasks from the team's quota."""
         if team in self._left:
@@ -174,35 +180,94 @@
             self._kept.add(demand.team)
 
 
-def plan(demands: list[Demand], spaces: list[HostSpace], teams: TeamQuotas) -> Plan:
-    """Place as many tasks as fit, in the order of the demands."""
+class _NoRoom:
+    """Remember needs for which no host has room, by the label that they require.
+
+    Room only shrinks while a plan is made, so a need that is no smaller finds none
+    either.
+    """
+
+    def __init__(self) -> None:
+        self._needs: dict[str, list[Resources]] = {}
+
+    def rules_out(self, demand: Demand) -> bool:
+        """Tell whether certainly no host has room for a task of the demand."""
+        return any(
+            need.fits_in(demand.need)
+            for label in {"", demand.label}
+            for need in self._needs.get(label, ())
+        )
+
+    def note_unplaced(self, demand: Demand, hosts: Iterable[HostSpace]) -> None:
+        """Record that some of the demand was not placed on the hosts it may use."""
+        if demand.allowed is None and not any(one.fits(demand.need) for one in hosts):
+            self._needs.setdefault(demand.label, []).append(demand.need)
+
+
+def plan(
+    demands: Sequence[Demand],
+    spaces: list[HostSpace],
+    teams: TeamQuotas,
+    budget: LookBudget | None = None,
+) -> Plan:
+    """Place as many tasks as fit, in the order of the demands.
+
+    A demand that certainly can't be placed costs no look at the hosts. Those beyond the
+    budget are left to the next plans that are made with it.
+    """
+    budget = budget or LookBudget()
     by_host = {space.host: space for space in spaces}
+    no_room = _NoRoom()
     placements: list[Placement] = []
     waiting: list[Demand] = []
     limited: list[object] = []
-    reservations = 0
-    for demand in demands[:MAX_DEMANDS_PER_PLAN]:
+    planned = reservations = 0
+    for demand in budget.each(demands):
+        planned += 1
         count = min(len(demand.tasks), teams.max_tasks(demand.team, demand.need))
         if count == 0 or (demand.gang and count < len(demand.tasks)):
             limited.append(demand.key)
             waiting.append(demand)
-            if demand.gang and may_ever_fit(demand, spaces):
-                teams.reserve_for(demand)
+            keep_quota(demand, spaces, teams, budget)
             continue
-        assigned = assign_hosts(
-            demand, candidates(demand, by_host, demand.allowed), count
-        )
+        may_reserve = demand.gang and reservations < MAX_RESERVATIONS
+        if not may_reserve and no_room.rules_out(demand):
+            waiting.append(demand)
+            continue
+        budget.spend(len(by_host) if demand.allowed is None else len(demand.allowed))
+        hosts = candidates(demand, by_host, demand.allowed)
+        assigned = assign_hosts(demand, hosts, count)
         for task, space in assigned:
             placements.append(Placement(demand.key, task, space.host))
         teams.take(demand.team, demand.need, len(assigned))
         if len(assigned) == count:
             continue
-        started = {task for task, _ in assigned}
-        remaining = [task for task in demand.tasks if task not in started]
-        waiting.append(replace(demand, tasks=remaining))
-        if demand.gang and reservations < MAX_RESERVATIONS:
+        no_room.note_unplaced(demand, hosts)
+        waiting.append(_without(demand, {task for task, _ in assigned}))
+        if may_reserve:
+            budget.spend(len(by_host))
             reservations += _reserve(demand, by_host)
-    return Plan(tuple(placements), tuple(waiting), tuple(limited))
+    return Plan(
+        tuple(placements), tuple(waiting), tuple(limited), len(demands) - planned
+    )
+
+
+def keep_quota(
+    gang: Demand, spaces: list[HostSpace], teams: TeamQuotas, budget: LookBudget
+) -> None:
+    """Keep the rest of a team's quota for a demand if that is a gang that may fit."""
+    if not gang.gang or teams.holds_back(gang.team):
+        return
+    budget.spend(len(spaces))
+    if may_ever_fit(gang, spaces):
+        teams.reserve_for(gang)
+
+
+def _without(demand: Demand, started: set[int]) -> Demand:
+    if not started:
+        return demand
+    remaining = [task for task in demand.tasks if task not in started]
+    return replace(demand, tasks=remaining)
 
 
 def candidates(
@@ -239,9 +304,7 @@
     for task in demand.tasks[:count]:
         space = _best_host(demand, hosts, demand.failed_on.get(task, ()), placed)
         if space is None:
-            if demand.gang:
-                break
-            continue
+            break  # no other task of the step finds room either
         space.take(demand.need)
         placed[space.host] = placed.get(space.host, 0) + 1
         assigned.append((task, space))
--- a/src/primrosehub/services/_planner.py
+++ b/src/primrosehub/services/_planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterator
 from itertools import chain
 from typing import TYPE_CHECKING
@@ -14,6 +15,7 @@
 from primrosehub.kernel.clock import steady_s, unix_ms
 from primrosehub.policy.advice_need import AdviceRequest, advice_requests
 from primrosehub.policy.host_pace import fleet_mean_slowness, slowness
+from primrosehub.policy.look_budget import LookBudget
 from primrosehub.policy.packing import (
     Demand,
     HostSpace,
@@ -54,6 +56,9 @@
         self._wait_report = WaitReport(term.metrics)
         self._advice_calls = AdviceCalls(term, self.changed)
         self._last_plan_s = 0.0
+        # Each by service; they remember where a pass over many steps has ended.
+        self._plan_budgets: defaultdict[str, LookBudget] = defaultdict(LookBudget)
+        self._advice_budgets: defaultdict[str, LookBudget] = defaultdict(LookBudget)
 
     def run(self) -> None:
         """Plan until the term ends."""
@@ -83,7 +88,7 @@
         for service, service_steps in by_service.items():
             spaces = self._host_spaces(service, began)
             requests.append(
-                self._plan_service(config, began, service_steps, spaces, quotas)
+                self._plan_service(service, began, service_steps, spaces, quotas)
             )
         self._advice_calls.make(chain.from_iterable(requests))
         term.metrics.observe("plan_seconds", steady_s() - began)
@@ -138,17 +143,20 @@
 
     def _plan_service(
         self,
-        config: ClusterConfig,
+        service: str,
         now: float,
         steps: list[StepRun],
         spaces: list[HostSpace],
         quotas: TeamQuotas,
     ) -> Iterator[tuple[AdviceRequest, list[HostSpace]]]:
         """Send the start orders of a service; return the requests for advice."""
-        result = plan([_demand(step, now) for step in steps], spaces, quotas)
+        demands = [_demand(step, now) for step in steps]
+        result = plan(demands, spaces, quotas, self._plan_budgets[service])
         self._send(result.placements)
         self._wait_report.note(result, steps, now)
-        requests = advice_requests(result.waiting, spaces, quotas)
+        requests = advice_requests(
+            result.waiting, spaces, quotas, self._advice_budgets[service]
+        )
         return ((request, spaces) for request in requests)
 
     def _send(self, placements: tuple[Placement, ...]) -> None:
--- a/src/primrosehub/services/_wait_report.py
+++ b/src/primrosehub/services/_wait_report.py
@@ -13,6 +13,7 @@
 # The minimum wait before a step is logged, and the time between two lines of the same
 # step and between two totals.
 LOG_INTERVAL_S = 1.0
+MAX_LOGGED_STEPS = 100  # in each interval, the first in the order of service
 
 
 class WaitReport:
@@ -21,6 +22,7 @@
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
         self._totals_logged_at = float("-inf")
+        self._steps_logged = 0
 
     def note(self, plan: Plan, steps: Sequence[StepRun], now: float) -> None:
         """Report the waiting demands of a plan.
@@ -28,7 +30,7 @@
         ``steps`` are all steps that the plan considered, in the order of service.
         """
         limited = set(plan.limited)
-        totals = Counter(team_limit=0, room=0, advice=0)
+        totals = Counter(team_limit=0, room=0, advice=0, postponed=plan.postponed)
         for demand in plan.waiting:
             if demand.key in limited:
                 reason = "team_limit"
@@ -37,7 +39,7 @@
             totals[reason] += 1
             self._log_wait(demand.key, reason, now)
         if now - self._totals_logged_at >= LOG_INTERVAL_S:
-            self._totals_logged_at = now
+            self._totals_logged_at, self._steps_logged = now, 0
             self._report_totals(totals, steps, now)
 
     def _log_wait(self, step: StepRun, reason: str, now: float) -> None:
@@ -45,6 +47,9 @@
             step.unplaced_since = now
         if now - max(step.unplaced_since, step.wait_logged_at) < LOG_INTERVAL_S:
             return
+        if self._steps_logged >= MAX_LOGGED_STEPS:
+            return
+        self._steps_logged += 1
         step.wait_logged_at = now
         log(
             "step_waits",
--- a/testing/policy/test_advice_need.py
+++ b/testing/policy/test_advice_need.py
@@ -2,6 +2,7 @@
 
 from primrosehub.core.resources import Resources
 from primrosehub.policy.advice_need import AdviceRequest, advice_requests
+from primrosehub.policy.look_budget import LookBudget
 from primrosehub.policy.packing import TeamQuotas, plan
 
 NO_LIMITS = TeamQuotas({}, {})
@@ -102,3 +103,24 @@
     first, last = (an_advised_demand(cpu_m=1000, key=key) for key in ("first", "last"))
     gang = an_advised_demand(2, 4000, gang=True, expired={"h1"}, key="gang")
     assert [one.key for one in wanted([first, gang, last], [busy])] == ["first"]
+
+
+# Guards against steps that are never asked about behind many that can't start.
+def test_a_step_is_requested_behind_many_whose_team_is_at_its_limit():
+    teams = TeamQuotas({"blue": Resources(500)}, {"blue": Resources(9000)})
+    limited = [an_advised_demand(cpu_m=1000, key=number) for number in range(2000)]
+    last = an_advised_demand(cpu_m=1000, key="last", team="green")
+    found = wanted([*limited, last], [a_host_space()], teams)
+    assert [one.key for one in found] == ["last"]
+
+
+def test_each_step_is_considered_within_a_few_passes_however_many_wait():
+    budget = LookBudget(limit=100)
+    refused = frozenset({"h1"})
+    demands = [an_advised_demand(key=n, refused=refused) for n in range(2000)]
+    demands.append(an_advised_demand(key="last"))
+    found, passes = [], 0
+    while not found and passes < 50:
+        passes += 1
+        found = list(advice_requests(demands, [a_host_space()], NO_LIMITS, budget))
+    assert [one.key for one in found] == ["last"]
--- a/testing/policy/test_packing.py
+++ b/testing/policy/test_packing.py
@@ -1,6 +1,8 @@
+import pytest
 from testing.builders.cluster import a_demand, a_host_space
 
 from primrosehub.core.resources import Resources
+from primrosehub.policy.look_budget import LookBudget
 from primrosehub.policy.packing import TeamQuotas, plan
 
 NO_LIMITS = TeamQuotas({}, {})
@@ -162,3 +164,72 @@
     spaces = [a_host_space("h1", 2000), a_host_space("h2", slowness=-0.2)]
     quick = a_demand(estimate_s=0.5)
     assert hosts_of(plan([quick], spaces, NO_LIMITS)) == ["h2"]
+
+
+MANY = 2000  # steps that wait
+
+
+def hopeless_demands(kind):
+    """Return demands that can't start, and the limits of teams."""
+    limits = NO_LIMITS
+    fields = [{"key": f"hopeless-{number}"} for number in range(MANY)]
+    match kind:
+        case "team at its limit":
+            limits = TeamQuotas({"blue": Resources(500)}, {"blue": Resources(9000)})
+        case "too large for any host":
+            fields = [one | {"cpu_m": 9000} for one in fields]
+        case "larger one by one":
+            fields = [one | {"cpu_m": 9000 + n} for n, one in enumerate(fields)]
+        case "label of no host":
+            fields = [one | {"label": "c"} for one in fields]
+        case "allowed on full hosts":
+            fields = [one | {"allowed": frozenset({"full"})} for one in fields]
+        case "as many on each host as may be":
+            placed = {"h1": 1, "full": 1}
+            fields = [one | {"max_per_host": 1, "placed": placed} for one in fields]
+        case "gang too large for all hosts":
+            fields = [one | {"gang": True, "tasks": 99} for one in fields]
+    return [a_demand(**one) for one in fields], limits
+
+
+# Guards against a list of steps, cut off at a length, that these fill.
+@pytest.mark.parametrize(
+    "kind",
+    [
+        "team at its limit",
+        "too large for any host",
+        "larger one by one",
+        "label of no host",
+        "allowed on full hosts",
+        "as many on each host as may be",
+        "gang too large for all hosts",
+    ],
+)
+def test_steps_that_can_not_start_keep_no_later_step_from_starting(kind):
+    full = a_host_space("full")
+    full.take(Resources(8000, 0))
+    demands, limits = hopeless_demands(kind)
+    last = a_demand(key="last", team="green")
+    result = plan([*demands, last], [a_host_space(), full], limits)
+    assert [one.key for one in result.placements] == ["last"]
+    assert len(result.waiting) == MANY
+
+
+def test_equal_steps_without_room_cost_one_look_at_the_hosts():
+    looks = LookBudget(limit=10)
+    spaces = [a_host_space(f"h{number}", 500) for number in range(4)]
+    demands = [a_demand(key=number) for number in range(MANY)]
+    assert plan(demands, spaces, NO_LIMITS, looks).postponed == 0
+
+
+# Guards against a step that is never looked at, as those before it use up each plan.
+def test_each_step_is_looked_at_within_a_few_plans_however_many_wait():
+    budget = LookBudget(limit=100)
+    placed = {"h1": 1}
+    blocked = [
+        a_demand(key=number, max_per_host=1, placed=placed) for number in range(MANY)
+    ]
+    demands = [*blocked, a_demand(key="last")]
+    plans = [plan(demands, [a_host_space()], NO_LIMITS, budget) for _ in range(41)]
+    assert all(len(one.waiting) <= 100 for one in plans)
+    assert any(one.placements for one in plans)
