--- a/model/isolation.py
+++ b/model/isolation.py
@@ -1,10 +1,14 @@
 """Specify when an owner that is cut off from the store stops, and who may rely on it.
 
-There are a few daemons, some of which are voters, and one worker host, which stands for
-all that a successor may fail to reach. Any message may be late or lost, so isolation is
-a choice of the explorer, as are restarts: a daemon or host that restarts has forgotten
-all that it knew. Each daemon name belongs to one process at a time, and an order names
-the incarnation of its host.
+Worker hosts are the witnesses: each refuses calls of an epoch below the highest that it
+has seen. An owner that the store does not confirm goes on only while more than half of
+the witnesses answer it, and a successor relies on half of them having answered it.
+
+There are a few hosts. Host 0 stands for one that a successor may fail to reach; the
+others are only witnesses here. Any message may be late or lost, so isolation is a
+choice of the explorer, as are restarts of hosts, which then have forgotten all that
+they knew. An order names the incarnation of its host. Daemons have no part in this: an
+owner is an epoch, and one that is lost takes no more steps.
 
 There are no clocks. "2 s pass" ends all confirmations of before the wait of the current
 owner, and "leases lapse" ends all orders of before that; both are steps that a wait
@@ -18,14 +22,15 @@
 from typing import NamedTuple
 
 FIRST_EPOCH = 1
-UNKNOWN_EPOCH = 0  # of a daemon that has restarted and not read the store since
+AT_STAKE = 0  # the host that a successor may fail to reach
 
 NOT_WAITING = ""
-SHORT_WAIT = "2 s"  # since half of the voters told that they know the epoch
-LONG_WAIT = "600 s"  # since one voter told it
+SHORT_WAIT = "2 s"  # since half of the witnesses answered
+LONG_WAIT = "3600 s"  # since the take-over
 CONFIRMATIONS_ENDED = "leases"
 
-Voters = frozenset[int]
+Hosts = frozenset[int]
+NONE: Hosts = frozenset()
 
 
 class Order(NamedTuple):
@@ -41,90 +46,81 @@
 class Owner(NamedTuple):
     """Hold what an owner, deposed or not, knows.
 
-    ``proposed`` are the voters of a write whose outcome it does not know, and
+    ``proposed`` are the witnesses of a write whose outcome it does not know, and
     ``proposal_stored`` is set once the store has applied it. ``by_store`` means that
-    the store confirmed it within 2 s, ``recent`` that it did within 600 s. ``answers``
-    are the daemons whose answers of the last 2 s confirm it, ``old_answers`` those that
-    answered before the wait of the current owner began. ``told`` are the daemons that
-    have told it that they know its epoch. ``checked`` is set only where the validity of
-    an order doesn't count from the check that it may be sent.
+    the store confirmed it within 2 s, ``recent`` that it did within 3600 s. ``seen``
+    are the hosts whose present incarnation it has looked at, ``confirmed`` those whose
+    incarnation it had seen when it asked the store that confirmed it. ``answers`` are
+    the witnesses that answered calls of the last 2 s, ``old_answers`` those of before
+    the wait of the current owner. ``told`` have answered it at any time in its term.
+    ``checked`` is set only where the validity of an order doesn't count from the check
+    that it may be sent.
     """
 
     epoch: int
-    voters: Voters
-    proposed: Voters | None = None
+    witnesses: Hosts
+    proposed: Hosts | None = None
     proposal_stored: bool = False
     by_store: bool = True
     recent: bool = True
-    answers: frozenset[int] = frozenset()
-    old_answers: frozenset[int] = frozenset()
-    told: frozenset[int] = frozenset()
+    seen: Hosts = NONE
+    confirmed: Hosts = NONE
+    answers: Hosts = NONE
+    old_answers: Hosts = NONE
+    told: Hosts = NONE
     wait: str = NOT_WAITING
     settled: bool = False
-    reached_host: bool = False
-    confirmed_host: bool = False
     checked: bool = False
 
 
-class Daemon(NamedTuple):
-    """Hold a daemon, the highest epoch that it knows, and its ownership if any."""
-
-    known_epoch: int = FIRST_EPOCH
-    owner: Owner | None = None
-
-
-class Host(NamedTuple):
-    """Hold the host; ``fence`` is the lowest epoch that it accepts."""
-
-    fence: int = FIRST_EPOCH
-    orders: frozenset[Order] = frozenset()
-
-
 class State(NamedTuple):
-    """Hold the whole state; ``epoch`` and ``voters`` are stored in the owner row."""
+    """Hold the whole state; ``epoch`` and ``witnesses`` are stored.
+
+    ``owners`` are in the order of their epochs. ``fences`` holds the lowest epoch that
+    each host accepts, ``orders`` what is valid or on its way at the host at stake.
+    """
 
     epoch: int
-    voters: Voters
-    daemons: tuple[Daemon, ...]
-    host: Host = Host()
+    witnesses: Hosts
+    owners: tuple[Owner, ...]
+    fences: tuple[int, ...]
+    orders: frozenset[Order] = frozenset()
     settled_epoch: int = FIRST_EPOCH
     violation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Scope:
-    """Bound an exploration; daemon 0 is the first owner.
+    """Bound an exploration.
 
-    ``other_voters`` are the sets to which an owner may change the voters.
+    ``other_witnesses`` are the sets to which an owner may change the witnesses.
     """
 
-    daemons: int
-    voters: Voters
-    other_voters: tuple[Voters, ...] = ()
-    max_epoch: int = 3
+    hosts: int
+    witnesses: Hosts
+    other_witnesses: tuple[Hosts, ...] = ()
+    max_epoch: int = 2
     max_depth: int = 1000
     prefix: tuple[str, ...] = ()
 
     def initial(self) -> State:
-        """Return the state in which daemon 0 is the settled owner."""
+        """Return the state in which the first owner has settled."""
+        everyone = frozenset(range(self.hosts))
         owner = Owner(
-            FIRST_EPOCH,
-            self.voters,
-            settled=True,
-            reached_host=True,
-            confirmed_host=True,
+            FIRST_EPOCH, self.witnesses, seen=everyone, confirmed=everyone, settled=True
         )
-        others = (Daemon(),) * (self.daemons - 1)
-        return State(FIRST_EPOCH, self.voters, (Daemon(owner=owner), *others))
+        fences = (FIRST_EPOCH,) * self.hosts
+        return State(FIRST_EPOCH, self.witnesses, (owner,), fences)
 
 
 SCOPES = (
-    Scope(3, Voters({0, 1, 2})),
-    Scope(3, Voters({0, 1})),
-    Scope(4, Voters({0, 1, 2, 3}), max_epoch=2),
-    Scope(3, Voters({0, 1}), (Voters({2}), Voters({1, 2})), max_epoch=2),
-    Scope(3, Voters({0, 1}), (Voters({2}),)),
-    Scope(3, Voters({0, 1}), (Voters({1, 2}),)),
+    Scope(3, Hosts({0, 1, 2})),
+    Scope(2, Hosts({0, 1}), max_epoch=3),
+    Scope(1, Hosts({0}), max_epoch=3),
+    Scope(2, Hosts({1}), max_epoch=3),
+    Scope(3, Hosts({0, 1}), (Hosts({2}),)),
+    Scope(3, Hosts({0, 1}), (Hosts({1, 2}),)),
+    Scope(2, Hosts({1}), (Hosts({0, 1}),), max_epoch=3, max_depth=12),
 )
 
 
@@ -136,22 +132,20 @@
 
     # When an owner that the store does not confirm may send orders:
     majority_confirms: bool = True
-    only_voters_count: bool = True
-    end_without_unanimity: bool = True
+    only_witnesses_count: bool = True
+    only_confirmed_incarnations_count: bool = True
     answers_count_from_request: bool = True
-    higher_epoch_does_not_confirm: bool = True
-    read_store_before_confirming: bool = True
+    fence_refuses_earlier_owners: bool = True
+    end_without_store: bool = True
     validity_counts_from_check: bool = True
     # When a successor may free what may run on a host that it has not reached:
     half_told_before_short_wait: bool = True
-    one_told_before_long_wait: bool = True
     wait_for_confirmations: bool = True
     wait_for_leases: bool = True
     store_confirms_before_freeing: bool = True
-    # How the voters change:
-    keep_voters_at_take_over: bool = True
-    settle_before_changing_voters: bool = True
-    change_voters_conditionally: bool = True
+    # How the witnesses change:
+    settle_before_changing_witnesses: bool = True
+    change_witnesses_conditionally: bool = True
     both_sets_confirm_while_unknown: bool = True
     # A host that restarts has forgotten the fence:
     store_confirms_incarnation: bool = True
@@ -164,328 +158,258 @@
 
 def steps(state: State, guards: Guards) -> Iterator[tuple[str, State]]:
     """Yield the name of each possible next step and the state after it."""
-    for number, daemon in enumerate(state.daemons):
-        yield from _daemon_steps(state, number, daemon, guards)
-        if daemon.owner:
-            for other in range(guards.scope.daemons):
-                yield from _tell(state, number, other, guards)
-                yield from _confirm_deposed(state, number, other, guards)
-            yield from _wait(state, number, guards)
-            yield from _settle(state, number, guards)
-            yield from _check(state, number, guards)
-            yield from _order(state, number, guards)
-            yield from _reach(state, number)
-            yield from _change_voters(state, number, guards)
-    if state.host != Host(fence=0):
-        yield "the host restarts", _restart_host(state)
-
-
-def _daemon_steps(
-    state: State, number: int, daemon: Daemon, guards: Guards
-) -> Iterator[tuple[str, State]]:
-    """Yield what a daemon does with the store, and its restart."""
-    owner = daemon.owner
-    if owner and owner.epoch == state.epoch:
-        # The answer to a take-over confirms no host: the owner reaches them after it.
-        confirmed = owner._replace(confirmed_host=owner.reached_host)
-        if confirmed != owner:
-            yield (
-                f"the store confirms daemon {number}",
-                _set_owner(state, number, confirmed),
-            )
-    else:
-        yield from _take_over(state, number, guards)
-        if daemon.known_epoch == UNKNOWN_EPOCH:
-            yield (
-                f"daemon {number} reads the store",
-                _set_daemon(state, number, Daemon(state.epoch)),
-            )
-    forgotten = Daemon(UNKNOWN_EPOCH)
-    if daemon != forgotten:
-        yield f"daemon {number} restarts", _set_daemon(state, number, forgotten)
-
-
-def _take_over(
-    state: State, number: int, guards: Guards
-) -> Iterator[tuple[str, State]]:
+    yield from _take_over(state, guards)
+    for owner in state.owners:
+        yield from _confirm_by_store(state, owner)
+        for host in range(guards.scope.hosts):
+            yield from _look(state, owner, host)
+            yield from _confirm_deposed(state, owner, host, guards)
+        yield from _wait(state, owner, guards)
+        yield from _settle(state, owner, guards)
+        yield from _check(state, owner, guards)
+        yield from _order(state, owner, guards)
+        yield from _change_witnesses(state, owner, guards)
+    for host in range(guards.scope.hosts):
+        if state.fences[host] or (host == AT_STAKE and state.orders):
+            yield f"host {host} restarts", _restart_host(state, host)
+
+
+def _take_over(state: State, guards: Guards) -> Iterator[tuple[str, State]]:
+    """Yield that a daemon takes over, which then reads the stored witnesses.
+
+    No confirmation or order counts as late or old then, as only the current owner
+    waits. What a deposed owner has seen unconfirmed is never confirmed.
+    """
     if state.epoch == guards.scope.max_epoch:
         return
     epoch = state.epoch + 1
-    choices = {state.voters}
-    if not guards.keep_voters_at_take_over:
-        choices |= {*guards.scope.other_voters, Voters({number})}
-    for voters in sorted(choices, key=sorted):
-        owner = Owner(epoch, voters, told=frozenset({number}))
-        taken = _forget_waits(state)._replace(epoch=epoch, voters=voters)
-        kept = "" if voters == state.voters else f" with voters {sorted(voters)}"
-        yield (
-            f"daemon {number} takes over{kept}",
-            _set_daemon(taken, number, Daemon(epoch, owner)),
+    deposed = tuple(
+        owner._replace(
+            seen=owner.seen & (owner.confirmed | {AT_STAKE}),
+            old_answers=NONE,
+            told=NONE,
+            wait=CONFIRMATIONS_ENDED
+            if owner.wait == CONFIRMATIONS_ENDED
+            else NOT_WAITING,
         )
+        for owner in state.owners
+    )
+    orders = frozenset(Order(order.epoch) for order in state.orders)
+    owners = (*deposed, Owner(epoch, state.witnesses))
+    yield (
+        f"owner {epoch} takes over",
+        state._replace(epoch=epoch, owners=owners, orders=orders),
+    )
 
 
-def _forget_waits(state: State) -> State:
-    """Return the state in which no confirmation or order counts as late or old.
-
-    Only the current owner waits, so each take-over begins with this.
-    """
-    for number, daemon in enumerate(state.daemons):
-        if daemon.owner:
-            ended = daemon.owner.wait == CONFIRMATIONS_ENDED
-            owner = daemon.owner._replace(
-                old_answers=frozenset(),
-                told=frozenset(),
-                wait=CONFIRMATIONS_ENDED if ended else NOT_WAITING,
-            )
-            state = _set_owner(state, number, owner)
-    orders = frozenset(Order(order.epoch) for order in state.host.orders)
-    return state._replace(host=state.host._replace(orders=orders))
+def _confirm_by_store(state: State, owner: Owner) -> Iterator[tuple[str, State]]:
+    if owner.epoch == state.epoch and owner.confirmed != owner.seen:
+        confirmed = owner._replace(confirmed=owner.seen)
+        yield f"the store confirms owner {owner.epoch}", _set(state, confirmed)
 
 
-def _tell(
-    state: State, number: int, teller: int, guards: Guards
-) -> Iterator[tuple[str, State]]:
-    """Yield that a daemon answers the current owner, whose ping told it the epoch."""
-    owner, told = state.daemons[number].owner, state.daemons[teller]
-    if owner.epoch != state.epoch or owner.settled or teller in owner.told:
-        return
-    if told.known_epoch == UNKNOWN_EPOCH and guards.read_store_before_confirming:
+def _look(state: State, owner: Owner, host: int) -> Iterator[tuple[str, State]]:
+    """Yield that an owner looks at a host, and goes on with what runs there."""
+    fence = state.fences[host]
+    if owner.epoch < fence or (host in owner.seen and fence == owner.epoch):
         return
-    knows = told if told.known_epoch == owner.epoch else Daemon(owner.epoch)
-    noted = _set_owner(state, number, owner._replace(told=owner.told | {teller}))
-    yield (
-        f"daemon {teller} tells daemon {number} that it knows epoch {owner.epoch}",
-        _set_daemon(noted, teller, knows),
-    )
+    looked = owner._replace(seen=owner.seen | {host})
+    if owner.epoch == state.epoch and not owner.settled:
+        looked = looked._replace(told=owner.told | {host})
+    fences = (*state.fences[:host], owner.epoch, *state.fences[host + 1 :])
+    after = state._replace(fences=fences)
+    if host == AT_STAKE:
+        looked = looked._replace(settled=True, wait=NOT_WAITING, told=NONE)
+        after = after._replace(
+            orders=frozenset(
+                order._replace(epoch=owner.epoch) for order in after.orders
+            ),
+            settled_epoch=max(state.settled_epoch, owner.epoch),
+        )
+    yield f"owner {owner.epoch} looks at host {host}", _set(after, looked)
 
 
 def _confirm_deposed(
-    state: State, number: int, voter: int, guards: Guards
+    state: State, owner: Owner, host: int, guards: Guards
 ) -> Iterator[tuple[str, State]]:
-    """Yield that a daemon answers a deposed owner's ping, and so confirms it.
+    """Yield that a host answers a deposed owner, and so confirms it.
 
     The current owner needs no answers, and a deposed one none before the confirmation
     by the store ends: what is answered until the wait begins ends no later.
     """
-    owner, asked = state.daemons[number].owner, state.daemons[voter]
-    if owner.epoch == state.epoch or number == voter:
+    if owner.epoch == state.epoch:
         return
-    needless = owner.by_store and not _current_wait(state)
+    needless = owner.by_store and state.owners[-1].wait == NOT_WAITING
     if needless and guards.answers_count_from_request:
         return
-    if asked.known_epoch == UNKNOWN_EPOCH and guards.read_store_before_confirming:
+    if owner.epoch < state.fences[host] and guards.fence_refuses_earlier_owners:
         return
-    if asked.known_epoch > owner.epoch and guards.higher_epoch_does_not_confirm:
+    if host not in owner.confirmed and guards.only_confirmed_incarnations_count:
         return
-    if asked.known_epoch < owner.epoch:
-        asked = Daemon(owner.epoch)
-    answers, old_answers = owner.answers | {voter}, owner.old_answers - {voter}
+    answers, old_answers = owner.answers | {host}, owner.old_answers - {host}
     confirmed = owner._replace(answers=answers, old_answers=old_answers)
     if confirmed != owner:
-        yield (
-            f"daemon {voter} confirms daemon {number}",
-            _set_owner(_set_daemon(state, voter, asked), number, confirmed),
-        )
-
-
-def _current_wait(state: State) -> str:
-    """Return what the current owner waits for."""
-    owners = (d.owner for d in state.daemons if d.owner)
-    return next((o.wait for o in owners if o.epoch == state.epoch), NOT_WAITING)
+        yield f"host {host} answers owner {owner.epoch}", _set(state, confirmed)
 
 
-def may_order(number: int, owner: Owner, guards: Guards) -> bool:
+def may_order(owner: Owner, guards: Guards) -> bool:
     """Return whether an owner may send orders."""
     if owner.by_store:
         return True
-    sets = [owner.voters]
+    sets = [owner.witnesses]
     if owner.proposed is not None:
         both = guards.both_sets_confirm_while_unknown
-        sets = [owner.voters, owner.proposed] if both else [owner.proposed]
-    return all(_confirm(voters, number, owner, guards) for voters in sets)
+        sets = [owner.witnesses, owner.proposed] if both else [owner.proposed]
+    in_time = owner.recent or not guards.end_without_store
+    return in_time and all(_confirm(hosts, owner, guards) for hosts in sets)
 
 
-def _confirm(voters: Voters, number: int, owner: Owner, guards: Guards) -> bool:
-    agreeing = owner.answers | {number}
-    if guards.only_voters_count:
-        agreeing &= voters
+def _confirm(witnesses: Hosts, owner: Owner, guards: Guards) -> bool:
+    answers = owner.answers
+    if guards.only_witnesses_count:
+        answers &= witnesses
     if not guards.majority_confirms:
-        return len(agreeing) > 1
-    unanimous = agreeing >= voters
-    in_time = unanimous or owner.recent or not guards.end_without_unanimity
-    return 2 * len(agreeing) > len(voters) and in_time
+        return bool(answers)
+    return 2 * len(answers) > len(witnesses)
 
 
-def _wait(state: State, number: int, guards: Guards) -> Iterator[tuple[str, State]]:
+def _wait(state: State, owner: Owner, guards: Guards) -> Iterator[tuple[str, State]]:
     """Yield the steps of the current owner's wait for the end of earlier owners."""
-    owner = state.daemons[number].owner
     if owner.settled or owner.epoch != state.epoch:
         return
-    told = len(owner.told & owner.voters)
-    half = 2 * told >= len(owner.voters) or not guards.half_told_before_short_wait
+    told = len(owner.told & owner.witnesses)
+    half = 2 * told >= len(owner.witnesses) or not guards.half_told_before_short_wait
     if half and owner.wait in (NOT_WAITING, LONG_WAIT):
         yield (
-            f"the short wait of daemon {number} begins",
-            _begin_wait(state, number, SHORT_WAIT),
+            f"the short wait of owner {owner.epoch} begins",
+            _begin_wait(state, owner, SHORT_WAIT),
         )
-    one = told or not guards.one_told_before_long_wait
-    if one and owner.wait == NOT_WAITING:
+    if owner.wait == NOT_WAITING:
         yield (
-            f"the long wait of daemon {number} begins",
-            _begin_wait(state, number, LONG_WAIT),
+            f"the long wait of owner {owner.epoch} begins",
+            _begin_wait(state, owner, LONG_WAIT),
         )
     if owner.wait in (SHORT_WAIT, LONG_WAIT):
         yield (
-            f"{owner.wait} of daemon {number} pass",
-            _end_confirmations(state, number, guards),
+            f"{owner.wait} of owner {owner.epoch} pass",
+            _end_confirmations(state, owner, guards),
         )
 
 
-def _begin_wait(state: State, number: int, wait: str) -> State:
-    for other, daemon in enumerate(state.daemons):
-        if daemon.owner:
-            marked = daemon.owner._replace(old_answers=daemon.owner.answers)
-            state = _set_owner(state, other, marked)
-    owner = state.daemons[number].owner
-    return _set_owner(state, number, owner._replace(wait=wait))
+def _begin_wait(state: State, owner: Owner, wait: str) -> State:
+    marked = tuple(one._replace(old_answers=one.answers) for one in state.owners)
+    return _set(state._replace(owners=marked), owner._replace(wait=wait))
 
 
-def _end_confirmations(state: State, number: int, guards: Guards) -> State:
+def _end_confirmations(state: State, waiting: Owner, guards: Guards) -> State:
     """Return the state after the confirmations of before the wait have ended."""
-    waiting = state.daemons[number].owner
-    for other, daemon in enumerate(state.daemons):
-        owner = daemon.owner
-        if not owner or owner.epoch >= waiting.epoch:
+    for owner in state.owners:
+        if owner.epoch >= waiting.epoch:
             continue
         if guards.wait_for_confirmations:
             owner = owner._replace(by_store=False)
             if guards.answers_count_from_request:
                 answers = owner.answers - owner.old_answers
-                owner = owner._replace(answers=answers, old_answers=frozenset())
+                owner = owner._replace(answers=answers, old_answers=NONE)
         if waiting.wait == LONG_WAIT:
             owner = owner._replace(recent=False)
-        state = _set_owner(state, other, owner)
-    return _set_owner(state, number, waiting._replace(wait=CONFIRMATIONS_ENDED))
+        state = _set(state, owner)
+    return _set(state, waiting._replace(wait=CONFIRMATIONS_ENDED))
 
 
-def _settle(state: State, number: int, guards: Guards) -> Iterator[tuple[str, State]]:
+def _settle(state: State, owner: Owner, guards: Guards) -> Iterator[tuple[str, State]]:
     """Yield that an owner frees what may run on the host that it has not reached."""
-    owner = state.daemons[number].owner
     if owner.settled or owner.wait != CONFIRMATIONS_ENDED:
         return
     if owner.epoch != state.epoch and guards.store_confirms_before_freeing:
         return
-    orders = state.host.orders
+    orders = state.orders
     if guards.wait_for_leases:
         orders = frozenset(o for o in orders if o.late or o.epoch > owner.epoch)
-    settled = owner._replace(settled=True, wait=NOT_WAITING, told=frozenset())
-    freed = _set_owner(state, number, settled)._replace(
-        host=state.host._replace(orders=orders),
-        settled_epoch=max(state.settled_epoch, owner.epoch),
+    settled = owner._replace(settled=True, wait=NOT_WAITING, told=NONE)
+    freed = _set(state, settled)._replace(
+        orders=orders, settled_epoch=max(state.settled_epoch, owner.epoch)
     )
     if orders:
         freed = freed._replace(violation="what may still run is freed")
-    yield f"leases lapse, daemon {number} settles", freed
+    yield f"leases lapse, owner {owner.epoch} settles", freed
 
 
-def _check(state: State, number: int, guards: Guards) -> Iterator[tuple[str, State]]:
+def _check(state: State, owner: Owner, guards: Guards) -> Iterator[tuple[str, State]]:
     """Yield that an owner checks that it may order, to send the order later.
 
     While the validity of an order counts from the check, this is one step with sending.
     """
-    owner = state.daemons[number].owner
     if guards.validity_counts_from_check or owner.checked:
         return
-    if may_order(number, owner, guards):
+    if may_order(owner, guards):
         yield (
-            f"daemon {number} checks that it may order",
-            _set_owner(state, number, owner._replace(checked=True)),
+            f"owner {owner.epoch} checks that it may order",
+            _set(state, owner._replace(checked=True)),
         )
 
 
-def _order(state: State, number: int, guards: Guards) -> Iterator[tuple[str, State]]:
-    owner, host = state.daemons[number].owner, state.host
-    ready = owner.confirmed_host or not guards.store_confirms_incarnation
-    if not owner.reached_host or not ready or owner.epoch < host.fence:
+def _order(state: State, owner: Owner, guards: Guards) -> Iterator[tuple[str, State]]:
+    confirmed = AT_STAKE in owner.confirmed or not guards.store_confirms_incarnation
+    ready = AT_STAKE in owner.seen and confirmed
+    if not ready or owner.epoch < state.fences[AT_STAKE]:
         return
-    if not (owner.checked or may_order(number, owner, guards)):
+    if not (owner.checked or may_order(owner, guards)):
         return
-    late = owner.epoch < state.epoch and _current_wait(state) == CONFIRMATIONS_ENDED
-    orders = host.orders | {Order(owner.epoch, late)}
-    ordered = state._replace(host=host._replace(orders=orders))
+    current = state.owners[-1]
+    late = owner.epoch < state.epoch and current.wait == CONFIRMATIONS_ENDED
+    ordered = state._replace(orders=state.orders | {Order(owner.epoch, late)})
     if owner.epoch < state.settled_epoch:
         ordered = ordered._replace(violation="an order follows a later owner's start")
     if ordered != state:
-        yield f"daemon {number} sends an order", ordered
+        yield f"owner {owner.epoch} sends an order", ordered
 
 
-def _reach(state: State, number: int) -> Iterator[tuple[str, State]]:
-    """Yield that an owner reaches the host, and goes on with what runs there."""
-    owner, host = state.daemons[number].owner, state.host
-    if owner.epoch < host.fence or (owner.reached_host and owner.epoch == host.fence):
-        return
-    orders = frozenset(order._replace(epoch=owner.epoch) for order in host.orders)
-    reached = owner._replace(
-        reached_host=True, settled=True, wait=NOT_WAITING, told=frozenset()
+def _restart_host(state: State, host: int) -> State:
+    owners = tuple(
+        owner._replace(seen=owner.seen - {host}, confirmed=owner.confirmed - {host})
+        for owner in state.owners
     )
-    yield (
-        f"daemon {number} reaches the host",
-        _set_owner(state, number, reached)._replace(
-            host=Host(owner.epoch, orders),
-            settled_epoch=max(state.settled_epoch, owner.epoch),
-        ),
-    )
-
-
-def _restart_host(state: State) -> State:
-    for number, daemon in enumerate(state.daemons):
-        if daemon.owner:
-            owner = daemon.owner._replace(reached_host=False, confirmed_host=False)
-            state = _set_owner(state, number, owner)
-    return state._replace(host=Host(fence=0))
+    fences = (*state.fences[:host], 0, *state.fences[host + 1 :])
+    orders = frozenset() if host == AT_STAKE else state.orders
+    return state._replace(owners=owners, fences=fences, orders=orders)
 
 
-def _change_voters(
-    state: State, number: int, guards: Guards
+def _change_witnesses(
+    state: State, owner: Owner, guards: Guards
 ) -> Iterator[tuple[str, State]]:
     """Yield the steps of a write whose outcome the owner does not know at first."""
-    owner = state.daemons[number].owner
     if owner.proposed is None:
-        yield from _write_voters(state, number, guards)
+        yield from _write_witnesses(state, owner, guards)
     elif owner.proposal_stored:
         known = owner._replace(
-            voters=owner.proposed, proposed=None, proposal_stored=False
+            witnesses=owner.proposed, proposed=None, proposal_stored=False
         )
         yield (
-            f"daemon {number} learns that its voters are stored",
-            _set_owner(state, number, known),
+            f"owner {owner.epoch} learns that its witnesses are stored",
+            _set(state, known),
         )
-    elif owner.epoch == state.epoch or not guards.change_voters_conditionally:
-        stored = _set_owner(state, number, owner._replace(proposal_stored=True))
+    elif owner.epoch == state.epoch or not guards.change_witnesses_conditionally:
+        stored = _set(state, owner._replace(proposal_stored=True))
         yield (
-            f"the store takes the voters of daemon {number}",
-            stored._replace(voters=owner.proposed),
+            f"the store takes the witnesses of owner {owner.epoch}",
+            stored._replace(witnesses=owner.proposed),
         )
 
 
-def _write_voters(
-    state: State, number: int, guards: Guards
+def _write_witnesses(
+    state: State, owner: Owner, guards: Guards
 ) -> Iterator[tuple[str, State]]:
-    owner = state.daemons[number].owner
-    if not owner.settled and guards.settle_before_changing_voters:
+    if not owner.settled and guards.settle_before_changing_witnesses:
         return
-    for voters in guards.scope.other_voters:
-        if voters != owner.voters:
+    for witnesses in guards.scope.other_witnesses:
+        if witnesses != owner.witnesses:
             yield (
-                f"daemon {number} writes voters {sorted(voters)}",
-                _set_owner(state, number, owner._replace(proposed=voters)),
+                f"owner {owner.epoch} writes witnesses {sorted(witnesses)}",
+                _set(state, owner._replace(proposed=witnesses)),
             )
 
 
-def _set_owner(state: State, number: int, owner: Owner) -> State:
-    return _set_daemon(state, number, state.daemons[number]._replace(owner=owner))
-
-
-def _set_daemon(state: State, number: int, daemon: Daemon) -> State:
-    daemons = tuple(daemon if n == number else d for n, d in enumerate(state.daemons))
-    return state._replace(daemons=daemons)
+def _set(state: State, owner: Owner) -> State:
+    owners = tuple(owner if o.epoch == owner.epoch else o for o in state.owners)
+    return state._replace(owners=owners)
--- a/src/primrosehub/core/fleet.py
+++ b/src/primrosehub/core/fleet.py
@@ -87,6 +87,17 @@
     ends_complete: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class WitnessAnswers:
+    """Hold which hosts have answered an owner lately.
+
+    ``electorates`` are the sets of witnesses of each of which more than half count.
+    """
+
+    electorates: tuple[frozenset[str], ...] = ()
+    answered: frozenset[str] = frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class StartOrder:
     """Start one attempt; expires at ``valid_until_ms`` on the worker host's clock."""
--- a/src/primrosehub/core/peering.py
+++ b/src/primrosehub/core/peering.py
@@ -42,15 +42,12 @@
 
     An empty ``incarnation`` means that there is no owner. ``number`` counts the
     owner's writes in the epoch, which makes every version of the row distinct.
-    ``voters`` are the daemons that can confirm the owner while the store does not; a
-    row of an older build has none.
     """
 
     epoch: int
     incarnation: str
     name: str
     number: int = 0
-    voters: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -44,6 +44,10 @@
 # How late a call may arrive at a later incarnation, whose clock is another.
 LATE_CALL_S = 5.0
 REPORT_WAIT_S = 1.0  # how long a host may delay its report while no attempt ends
+# The same once the store has not confirmed the owner for ASK_HOSTS_AFTER_S, so that
+# answers of the hosts are there before that confirmation expires, and none is too old.
+SHORT_REPORT_WAIT_S = 0.5
+ASK_HOSTS_AFTER_S = 1.0
 REPORT_TIMEOUT_S = 1.0  # in addition to the requested delay of the report
 ORDER_TIMEOUT_S = 0.8
 RETRY_S = 0.25
@@ -142,6 +146,7 @@
         self._unanswered_since = steady_s()
         self._no_starts_until = 0.0
         self._incarnation_seen_at = float("inf")
+        self._answered_at = float("-inf")
         self._logged_obstacle = ""
 
     @property
@@ -163,6 +168,14 @@
         """
         return self._term.ownership.confirmed_by_store_at > self._incarnation_seen_at
 
+    def confirms_since(self, since: float) -> bool:
+        """Return whether a call that was sent since then shows no later owner.
+
+        An incarnation counts only if the store has confirmed the ownership since the
+        first look at it, as it may have forgotten a later owner.
+        """
+        return self._answered_at >= since and self.incarnation_confirmed
+
     def accepts_starts(self, now: float, listing_grace_s: float) -> bool:
         """Return whether new attempts may be started on the host.
 
@@ -235,10 +248,10 @@
         while not self.closed:
             checked_at = steady_s()
             if not self._term.may_order:
-                gevent.sleep(0.05)
+                self._ask_for_confirmation()
                 continue
             pending = self.last_received_end > self.last_stored_end
-            wait_s = 0.0 if pending or not self.reached else REPORT_WAIT_S
+            wait_s = 0.0 if pending or not self.reached else self._report_wait_s()
             self.ends_stored.clear()
             client = self.client
             try:
@@ -255,6 +268,33 @@
                 if self.last_received_end > self.last_stored_end:
                     self.ends_stored.wait(ENDS_STORED_TIMEOUT_S)
 
+    def _report_wait_s(self) -> float:
+        unconfirmed_s = steady_s() - self._term.ownership.confirmed_by_store_at
+        late = unconfirmed_s >= ASK_HOSTS_AFTER_S
+        return SHORT_REPORT_WAIT_S if late else REPORT_WAIT_S
+
+    def _ask_for_confirmation(self) -> None:
+        """Ask, without lease or acknowledgement, if the host has seen a later owner.
+
+        An owner that may send no orders for want of answers gets them so.
+        """
+        client, sent_at = self.client, steady_s()
+        try:
+            if client.connected:
+                report = client.renew_lease(0, 0, 0.0, REPORT_TIMEOUT_S)
+            else:
+                report = client.look(REPORT_TIMEOUT_S)
+        except HostReportUnavailable:
+            client.close()
+        except LeaseRenewalRefused as error:
+            self._handle_renewal_refused(error.reason)
+        else:
+            if self._is_known_incarnation(report.born_ms):
+                self._answered_at = sent_at
+            else:
+                client.close()  # the next look handles the restart
+        gevent.sleep(RETRY_S)
+
     def _renew_lease(
         self, client: HostClient, wait_s: float, checked_at: float
     ) -> None:
@@ -286,6 +326,8 @@
             # An earlier owner may have given a lease until just before this look.
             self._max_lease_until_ms = report.clock_ms + self._term.lease_ms
         self._born_ms, self._clock_reading = report.born_ms, reading
+        self._answered_at = sent_at
+        self._term.witnesses.note_informed(self.host, received_at)
         if not self.answering:
             self.answering = True
             log(
--- a/src/primrosehub/services/_job_rows.py
+++ b/src/primrosehub/services/_job_rows.py
@@ -15,6 +15,7 @@
 # that write them also check that row.
 OWNER_PART = "s"
 ROSTER_KEY = RowKey("roster", OWNER_PART, "hosts")
+WITNESSES_KEY = RowKey("roster", OWNER_PART, "witnesses")
 
 
 def progress_key(job: str) -> RowKey:
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -12,7 +12,12 @@
 from gevent.event import Event
 
 from primrosehub.core.batch import AcceptedJob, JobProgress
-from primrosehub.core.fleet import EndKind, RunningAttempt, WorkerHost
+from primrosehub.core.fleet import (
+    EndKind,
+    RunningAttempt,
+    WitnessAnswers,
+    WorkerHost,
+)
 from primrosehub.core.logs import log
 from primrosehub.core.rows import StoreRefused
 from primrosehub.kernel import Kernel, TaskGroup
@@ -31,6 +36,7 @@
 from primrosehub.services._progress_writer import ProgressWriter
 from primrosehub.services._queue_report import QueueReport
 from primrosehub.services._term_rows import TermRows
+from primrosehub.services._witnesses import Witnesses
 from primrosehub.services.names import METRICS
 from primrosehub.services.names.cluster import (
     ADVISING,
@@ -71,6 +77,7 @@
         self.settled = False
         self.roster_known = True
         self.began_at = steady_s()
+        self.witnesses = Witnesses(self.began_at)
         self.tasks = tasks
         self._confirm_requested = Event()
         self._lost_at: dict[TaskRun, float] = {}
@@ -82,6 +89,16 @@
         """Return whether orders of this term may still be sent."""
         return self.ownership.may_order(self.epoch)
 
+    def witness_answers(self, within_s: float) -> WitnessAnswers:
+        """Return which hosts answered a call sent in the last ``within_s`` s."""
+        since = steady_s() - within_s
+        return WitnessAnswers(
+            self.witnesses.electorates,
+            frozenset(
+                host for host, one in self.sessions.items() if one.confirms_since(since)
+            ),
+        )
+
     def step_down(self, reason: str) -> None:
         """Give up the ownership, because a host has seen a higher epoch."""
         self.ownership.step_down(self.epoch, reason)
@@ -237,6 +254,7 @@
     def host_reached(self, session: HostSession) -> None:
         """Handle the first report of a host, and the first that lists all its ends."""
         self._note_hosts_changed()
+        self.progress.wake()
         self.wake()
 
     def host_draining(self, session: HostSession) -> None:
@@ -302,7 +320,7 @@
 
     def _earlier_leases_expired(self) -> bool:
         """Return whether there was no later owner when the last lease had expired."""
-        expired_at = self.ownership.earlier_orders_end_at + LAST_LEASE_S
+        expired_at = self.witnesses.earlier_orders_end_at + LAST_LEASE_S
         return self.ownership.confirmed_by_store_at > expired_at
 
     def _note_hosts_changed(self) -> None:
@@ -394,6 +412,7 @@
                 stops=len(stops),
                 unreached=",".join(sorted(self._unreached_hosts())),
             )
+            self.progress.wake()  # the witnesses may change now
             for stop in stops:
                 self.stop(stop.task, stop.reason)
             self.wake()
--- a/src/primrosehub/services/_progress_writer.py
+++ b/src/primrosehub/services/_progress_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack
 from typing import TYPE_CHECKING
 
 import gevent
@@ -67,6 +68,7 @@
     def _flush(self) -> None:
         term = self._term
         roster_changed = self._current_roster() != self._roster
+        roster_changed |= self._next_witnesses() != term.witnesses.stored
         noted_ends = [
             (session, session.last_received_end) for session in term.sessions.values()
         ]
@@ -81,6 +83,13 @@
     def _current_roster(self) -> dict[str, str]:
         return {host: s.info.address for host, s in self._term.sessions.items()}
 
+    def _next_witnesses(self) -> frozenset[str] | None:
+        """Return the hosts that are reached, once earlier owners have stopped."""
+        term = self._term
+        if not term.settled:
+            return term.witnesses.stored
+        return frozenset(host for host, one in term.sessions.items() if one.reached)
+
     def _write_batch(self, roster_changed: bool) -> None:
         term, book = self._term, self._term.book
         began = steady_s()
@@ -99,8 +108,13 @@
         if roster_changed:
             writes.append(PutRow(ROSTER_KEY, encode_roster(roster)))
             enrolled = list(term.sessions.values())
+        witnesses = self._next_witnesses()
         try:
-            term.ownership.commit(RowsTransaction(writes=tuple(writes)))
+            with ExitStack() as stack:
+                if witnesses is not None and witnesses != term.witnesses.stored:
+                    change = term.witnesses.change_to(witnesses)
+                    writes.append(stack.enter_context(change))
+                term.ownership.commit(RowsTransaction(writes=tuple(writes)))
         except BaseException:
             book.dirty.update(ids)
             raise
--- a/src/primrosehub/services/_term_rows.py
+++ b/src/primrosehub/services/_term_rows.py
@@ -30,6 +30,7 @@
     OWNER_PART,
     PROGRESS_TABLE,
     ROSTER_KEY,
+    WITNESSES_KEY,
 )
 
 if TYPE_CHECKING:
@@ -52,6 +53,7 @@
     def __init__(self, term: OwnerTerm) -> None:
         self._term = term
         self._logged_versions: dict[RowKey, int] = {}
+        self._roster_hosts: tuple[str, ...] = ()
 
     def load(self) -> int:
         """Read all rows once and return the version from which to follow them."""
@@ -76,7 +78,10 @@
             if isinstance(page, StoreRefused):
                 raise page
         roster = self._term.store.read_one(ROSTER_KEY)
+        witnesses = self._term.store.read_one(WITNESSES_KEY)
         self._apply_loaded(pages, roster)
+        known = self._term.roster_known
+        self._term.witnesses.load(witnesses, self._roster_hosts if known else None)
         log(
             "term_loaded",
             epoch=self._term.epoch,
@@ -141,6 +146,7 @@
             self._log_unreadable("roster_unreadable", roster, error)
             self._term.roster_known = False
             return
+        self._roster_hosts = tuple(addresses)
         for host, address in addresses.items():
             try:
                 parse_address(address)
--- a/src/primrosehub/services/names/cluster.py
+++ b/src/primrosehub/services/names/cluster.py
@@ -7,7 +7,7 @@
 
 from primrosehub.core.batch import AcceptedJob, BatchSpec, JobState
 from primrosehub.core.clusterconfig import ClusterConfig
-from primrosehub.core.fleet import Advice
+from primrosehub.core.fleet import Advice, WitnessAnswers
 from primrosehub.core.peering import (
     OwnerSeen,
     PeerCard,
@@ -87,18 +87,12 @@
     def reachable_pongs(self, within_s: float) -> Sequence[ReceivedPong]:
         """Return recent pongs with ages, without peers that now refuse connections."""
 
-    def answers(self, within_s: float) -> Sequence[Pong]:
-        """Return each peer's last answer, if asked for in the last ``within_s`` s."""
-
     def refused_s(self, name: str) -> float:
         """Return for how long a peer has been refusing connections, 0 if it is not."""
 
     def watch_closely(self, name: str) -> None:
         """Ping this peer at the short interval, in place of the peer watched before."""
 
-    def ping_all_often(self, often: bool) -> None:
-        """Ping all peers, or only the strongest and watched, at the short interval."""
-
     def ping_now(self) -> None:
         """Ping all peers immediately, to spread a change of this daemon's state."""
 
@@ -129,10 +123,6 @@
     def confirmed_by_store_at(self) -> float:
         """Return the send time of the last store call that confirmed the ownership."""
 
-    @property
-    def earlier_orders_end_at(self) -> float:
-        """Return from when no earlier owner sends orders."""
-
     def may_order(self, epoch: int) -> bool:
         """Return whether this epoch was confirmed recently enough to send orders."""
 
@@ -169,6 +159,9 @@
     def settled(self) -> bool:
         """Return whether nothing that earlier owners started is unaccounted for."""
 
+    def witness_answers(self, within_s: float) -> WitnessAnswers:
+        """Return which hosts answered a call sent in the last ``within_s`` s."""
+
     def start_term(self, epoch: int) -> None:
         """Begin a term of ownership."""
 
--- a/src/primrosehub/services/ownership.py
+++ b/src/primrosehub/services/ownership.py
@@ -34,14 +34,11 @@
 from primrosehub.kernel.clock import steady_s
 from primrosehub.policy.isolation import (
     CONFIRMATION_VALID_S,
-    VOTER_SILENT_S,
     Confirmation,
+    ConfirmedByHosts,
     ConfirmedByStore,
-    ConfirmedByVoters,
     Unconfirmed,
     assess_confirmation,
-    next_voters,
-    orders_end_at,
 )
 from primrosehub.policy.own_pace import SlowProcessorDetector
 from primrosehub.policy.succession import (
@@ -72,9 +69,6 @@
 
 CHECK_INTERVAL_S = 0.1  # between checks of the ownership
 CONFIRM_INTERVAL_S = 0.7  # between an owner's confirmations from the store
-# An owner that the store has not confirmed for this long asks all peers, so that their
-# answers are there before the confirmation expires.
-ASK_PEERS_AFTER_S = 1.0
 RETRY_S = 0.1
 # A longer time between two checks, five times CHECK_INTERVAL_S, means that this daemon
 # was suspended.
@@ -97,9 +91,6 @@
         self._held_epoch = 0
         self._confirmed_at = float("-inf")
         self._logged_confirmation: tuple[int, type] = (0, Unconfirmed)
-        self._voters_in_doubt: frozenset[str] | None = None
-        self._informed_at: dict[str, float] = {}
-        self._term_began_at = float("-inf")
         self._owner_heard_at = float("-inf")
         self._owner_known_since = steady_s()
         self._owner_status: OwnerStatus = OwnerAlive()
@@ -139,12 +130,6 @@
         """Return the send time of the last store call that confirmed the ownership."""
         return self._confirmed_at
 
-    @property
-    def earlier_orders_end_at(self) -> float:
-        """Return from when no earlier owner sends orders."""
-        voters = set(self._row.voters)
-        return orders_end_at(voters, self._informed_at, self._term_began_at)
-
     def may_order(self, epoch: int) -> bool:
         """Return whether this epoch was confirmed recently enough to send orders."""
         if not self._leading or epoch != self._row.epoch:
@@ -214,18 +199,12 @@
     def _confirmation(self) -> Confirmation:
         store_age_s = steady_s() - self._confirmed_at
         if store_age_s < CONFIRMATION_VALID_S:
-            return ConfirmedByStore()  # without a look at all peers for each order
-        electorates = [set(self._row.voters)]
-        if self._voters_in_doubt is not None:
-            electorates.append(self._voters_in_doubt)
-        agreeing = {self._peering.own_card.name}
-        for pong in self._peering.answers(CONFIRMATION_VALID_S):
-            # A peer that restarted knows no epoch until it has read the stored row.
-            if same_term(pong.owner, self._row):
-                agreeing.add(pong.sender.name)
+            return ConfirmedByStore()  # without a look at all hosts for each order
+        answers = self._scheduler.witness_answers(CONFIRMATION_VALID_S)
+        answered = answers.answered
         if self._peer_with_higher_epoch() is not None:
-            agreeing = set()
-        return assess_confirmation(store_age_s, electorates, agreeing)
+            answered = frozenset()
+        return assess_confirmation(store_age_s, answers.electorates, answered)
 
     def _log_confirmation(self, confirmation: Confirmation) -> None:
         """Log a confirmation of another kind than before."""
@@ -235,10 +214,10 @@
         self._logged_confirmation = kind
         match confirmation:
             case ConfirmedByStore():
-                source, voters = "store", frozenset()
-            case ConfirmedByVoters(voters):
-                source = "voters"
-            case Unconfirmed(voters):
+                source, hosts = "store", 0
+            case ConfirmedByHosts(hosts):
+                source = "hosts"
+            case Unconfirmed(hosts):
                 source = "nobody"
         self._metrics.gauge("ownership_confirmed_by_store", source == "store")
         log(
@@ -246,8 +225,7 @@
             epoch=self._row.epoch,
             by=source,
             by_store_s=round(steady_s() - self._confirmed_at, 3),
-            agreeing=",".join(sorted(voters)),
-            voters=",".join(self._row.voters),
+            hosts=hosts,
         )
 
     def _goes_on(self) -> bool:
@@ -423,12 +401,6 @@
             self.step_down(
                 self._row.epoch, f"{pong.sender.name} knows epoch {pong.owner.epoch}"
             )
-            return
-        now = steady_s()
-        self._peering.ping_all_often(now - self._confirmed_at > ASK_PEERS_AFTER_S)
-        for pong in self._peering.recent_pongs(SILENCE_S):
-            if pong.owner.epoch == self._row.epoch:
-                self._informed_at.setdefault(pong.sender.name, now)
 
     def _peer_with_higher_epoch(self) -> Pong | None:
         """Return the news of a peer that knows a later owner, None if there is none."""
@@ -436,49 +408,17 @@
         return next((p for p in pongs if p.owner.epoch > self._row.epoch), None)
 
     def _confirm_repeatedly(self) -> None:
-        """Keep the ownership confirmed by the store, and the voters up to date."""
+        """Keep the ownership confirmed by the store."""
         while True:
             gevent.sleep(CHECK_INTERVAL_S)
             try:
                 due = steady_s() - self._confirmed_at > CONFIRM_INTERVAL_S
                 if self._leading and due:
                     self.confirm()
-                if self._leading and self._scheduler.settled:
-                    self._update_voters()
             except (StoreRefused, OwnershipLost):
                 gevent.sleep(RETRY_S)
 
-    def _update_voters(self) -> None:
-        """Store the voters if daemons came or went."""
-        if steady_s() - self._confirmed_at >= CONFIRM_INTERVAL_S + RETRY_S:
-            return
-        voters = tuple(sorted(self._next_voters()))
-        with self._lock:
-            if not self._leading or voters == self._row.voters:
-                return
-            row = replace(self._row, number=self._row.number + 1, voters=voters)
-            self._voters_in_doubt = frozenset(voters)
-            try:
-                self._commit_row(row, RowsTransaction())
-            finally:
-                self._voters_in_doubt = None
-        log("voters_changed", epoch=row.epoch, voters=",".join(voters))
-
-    def _next_voters(self) -> frozenset[str]:
-        me = self._peering.own_card.name
-        heard = {
-            pong.sender.name
-            for pong in self._peering.recent_pongs(SILENCE_S)
-            if not pong.leaving
-        }
-        lately = {
-            pong.sender.name for pong in self._peering.recent_pongs(VOTER_SILENT_S)
-        }
-        term_s = steady_s() - self._term_began_at
-        return next_voters(set(self._row.voters), heard | {me}, lately | {me}, term_s)
-
     def _check_owner(self) -> None:
-        self._peering.ping_all_often(False)
         if self._row.epoch == 0:
             self._reread()
         pongs = self._peering.reachable_pongs(SILENCE_S)
@@ -561,9 +501,7 @@
 
     def _write_own_row(self) -> None:
         me = self._peering.own_card
-        # They stay while an earlier owner may rely on them; see ``_update_voters``.
-        voters = self._row.voters or tuple(sorted(self._next_voters()))
-        row = OwnerRow(self._row.epoch + 1, me.incarnation, me.name, voters=voters)
+        row = OwnerRow(self._row.epoch + 1, me.incarnation, me.name)
         sent = steady_s()
         transaction = RowsTransaction(
             (ExpectRow(OWNER_KEY, self._version),), (PutRow(OWNER_KEY, encode(row)),)
@@ -587,8 +525,6 @@
         self._leading = True
         self._confirmed_at = confirmed_at
         self._held_epoch = self._row.epoch
-        self._term_began_at = steady_s()
-        self._informed_at = {self._peering.own_card.name: self._term_began_at}
         self._metrics.gauge("leading", 1)
         self._metrics.count("take_overs")
         self._peering.ping_now()
--- a/src/primrosehub/services/peering.py
+++ b/src/primrosehub/services/peering.py
@@ -68,15 +68,12 @@
 class _Peer:
     """Hold the state of one peer and the idle connections to it.
 
-    ``last_pong`` is its latest news, from a ping or a pong. ``answer`` is the latest
-    pong to a ping, which was sent at ``asked_at``.
+    ``last_pong`` is its latest news, from a ping or a pong.
     """
 
     card: PeerCard
     last_pong: Pong | None = None
     last_heard_at: float = float("-inf")
-    answer: Pong | None = None
-    asked_at: float = float("-inf")
     refused_since: float | None = None
     leaving_since: float | None = None
     added_at: float = field(default_factory=steady_s)
@@ -135,7 +132,6 @@
         )
         self._peers: dict[str, _Peer] = {}
         self._watched_peer = ""
-        self._ping_all_often = False
         self._pong_heard = Event()
         self._handlers: dict[type, Callable[..., PeerMessage]] = {
             Ping: self.answer_ping,
@@ -204,15 +200,6 @@
             and peer.refused_since is None
         ]
 
-    def answers(self, within_s: float) -> Sequence[Pong]:
-        """Return each peer's last answer, if asked for in the last ``within_s`` s."""
-        since = steady_s() - within_s
-        return [
-            peer.answer
-            for peer in self._peers.values()
-            if peer.answer is not None and peer.asked_at >= since
-        ]
-
     def refused_s(self, name: str) -> float:
         """Return for how long a peer has been refusing connections, 0 if it is not."""
         peer = self._peers.get(name)
@@ -227,12 +214,6 @@
             if name in self._peers:
                 self._peers[name].ping_requested.set()
 
-    def ping_all_often(self, often: bool) -> None:
-        """Ping all peers, or only the strongest and watched, at the short interval."""
-        if often and not self._ping_all_often:
-            self.ping_now()
-        self._ping_all_often = often
-
     def ping_now(self) -> None:
         """Ping all peers immediately, to spread a change of this daemon's state."""
         for peer in self._peers.values():
@@ -318,14 +299,12 @@
 
     def _ping(self, peer: _Peer, connection: FrameClient) -> None:
         try:
-            asked_at = steady_s()
             ping = Ping(**self._own_state())  # type: ignore[arg-type]
             answer = decode_message(
                 connection.call(encode_message(ping), PING_TIMEOUT_S)
             )
             if isinstance(answer, Pong):
                 self._record_pong(answer)
-                peer.answer, peer.asked_at = answer, asked_at
         except (CallFailed, ValueError) as error:
             if not isinstance(error, CallRefused):
                 peer.refused_since = None
@@ -351,8 +330,7 @@
 
     def _is_pinged_frequently(self, card: PeerCard) -> bool:
         if (
-            self._ping_all_often
-            or card.name == self._watched_peer
+            card.name == self._watched_peer
             or len(self._peers) <= FREQUENTLY_PINGED_PEERS
         ):
             return True
--- a/src/primrosehub/services/scheduler.py
+++ b/src/primrosehub/services/scheduler.py
@@ -6,6 +6,7 @@
 from contextlib import ExitStack
 
 from primrosehub.core.batch import AcceptedJob, JobState
+from primrosehub.core.fleet import WitnessAnswers
 from primrosehub.core.logs import log
 from primrosehub.core.peering import (
     AskState,
@@ -37,6 +38,12 @@
         """Return whether nothing that earlier owners started is unaccounted for."""
         return self._term is not None and self._term.settled
 
+    def witness_answers(self, within_s: float) -> WitnessAnswers:
+        """Return which hosts answered a call sent in the last ``within_s`` s."""
+        if self._term is None:
+            return WitnessAnswers((frozenset(),))
+        return self._term.witness_answers(within_s)
+
     def start(self, stack: ExitStack) -> None:
         """Register handlers for the messages that peers send to the owner."""
         self._metrics = self._kernel.find(METRICS)
--- a/testing/protocol/test_earlier_owners.py
+++ b/testing/protocol/test_earlier_owners.py
@@ -1,117 +1,142 @@
-"""Which peers tell an owner that earlier owners have stopped."""
+"""Which hosts tell an owner that earlier owners have stopped, and who changes them."""
 
-from contextlib import ExitStack, contextmanager
 from types import SimpleNamespace
 
 import gevent
 import pytest
+from gevent.event import Event
+
+from primrosehub.border.codec import encode
+from primrosehub.core.rows import StoredRow, StoreRefused
+from primrosehub.policy.isolation import CONFIRMATION_VALID_S, UNCONFIRMED_LIMIT_S
+from primrosehub.services._job_book import JobBook
+from primrosehub.services._job_rows import WITNESSES_KEY
+from primrosehub.services._progress_writer import ProgressWriter
+from primrosehub.services._witnesses import Witnesses
+from testing.fakes import FakeMetrics
+
+STORED = ("h1", "h2", "h3")
+BEGAN_AT = 100.0
+
+
+def stored_row(value):
+    return StoredRow(WITNESSES_KEY, value, 7)
+
+
+def loaded_witnesses(hosts=STORED):
+    witnesses = Witnesses(BEGAN_AT)
+    witnesses.load(stored_row(encode(list(hosts))), ("other",))
+    return witnesses
+
+
+class BlockedOwnership:
+    """Delay each commit until ``may_commit`` is set; refuse it if ``refuse`` is set."""
+
+    def __init__(self):
+        self.may_commit, self.refuse = Event(), False
+        self.commits = []
+
+    def commit(self, transaction):
+        self.may_commit.wait()
+        if self.refuse:
+            raise StoreRefused("no")
+        self.commits.append(transaction)
+
+
+def a_session(reached=True):
+    info = SimpleNamespace(address="10.0.0.1:80")
+    ends = {"last_received_end": 0, "last_stored_end": 0, "ends_stored": Event()}
+    return SimpleNamespace(info=info, reached=reached, enrolled=False, **ends)
 
-from primrosehub.core.peering import OwnerRow
-from primrosehub.policy.isolation import CONFIRMATION_VALID_S, MANY_MISSING_LIMIT_S
-from primrosehub.services.names import METRICS
-from primrosehub.services.names.cluster import PEERING, SCHEDULER, STORE
-from primrosehub.services.ownership import OwnershipService
-from testing.builders.cluster import a_peer_card, pongs_that_know
-from testing.fakes import (
-    FakeKernel,
-    FakeMetrics,
-    FakeOwnerStore,
-    FakePeering,
-    FakeTasks,
-)
 
-OWN = a_peer_card("hub-1")
-VOTERS = ("hub-1", "hub-2", "hub-3")
-CHECKS_S = 0.35  # some checks of the owner's own term
-
-
-def own_row(epoch=2):
-    return OwnerRow(epoch, OWN.incarnation, OWN.name, voters=VOTERS)
-
-
-@contextmanager
-def running(store, pongs, settled=False):
-    """Run the service beside peers that were heard with these pongs."""
-    peering = FakePeering(OWN, pongs)
-    peering.reachable_pongs = lambda within_s: []
-    peering.refused_s = lambda name: 0.0
-    peering.watch_closely = lambda name: None
-    services = {
-        STORE: store,
-        PEERING: peering,
-        SCHEDULER: SimpleNamespace(
-            start_term=lambda epoch: None, end_term=lambda: None, settled=settled
-        ),
-        METRICS: FakeMetrics(),
-    }
-    kernel, tasks = FakeKernel(services), FakeTasks()
-    kernel.tasks = lambda stack: tasks
-    ownership = OwnershipService(kernel)
-    with ExitStack() as stack:
-        stack.callback(tasks.close)
-        ownership.start(stack)
-        gevent.sleep(CHECKS_S)
-        assert ownership.is_owner
-        yield ownership, peering
-
-
-# Guards against taking an earlier owner for stopped by voters that may confirm it.
+def a_term(settled, sessions):
+    return SimpleNamespace(
+        book=JobBook(1),
+        sessions=sessions,
+        ownership=BlockedOwnership(),
+        metrics=FakeMetrics(),
+        wake=lambda: None,
+        settled=settled,
+        witnesses=loaded_witnesses(),
+    )
+
+
+def written_witnesses(term):
+    return [
+        row.value
+        for transaction in term.ownership.commits
+        for row in transaction.writes
+        if row.key == WITNESSES_KEY
+    ]
+
+
+# Guards against taking an earlier owner for stopped by hosts that may answer it.
 @pytest.mark.parametrize(
-    ("epoch", "incarnation", "stopped"),
-    [(1, "earlier", False), (2, OWN.incarnation, True)],
+    ("informed", "stopped"),
+    [((), False), (("h1",), False), (("h1", "other"), False), (("h1", "h3"), True)],
 )
-def test_only_voters_that_know_the_epoch_tell_that_earlier_owners_stopped(
-    epoch, incarnation, stopped
+def test_only_witnesses_that_answered_tell_that_earlier_owners_stopped(
+    informed, stopped
 ):
-    pongs = pongs_that_know(VOTERS[1:], epoch, incarnation)
-    with running(FakeOwnerStore(own_row()), pongs) as (ownership, _):
-        waits_s = ownership.earlier_orders_end_at - ownership.confirmed_by_store_at
-    assert (waits_s < MANY_MISSING_LIMIT_S) is stopped
+    witnesses = loaded_witnesses()
+    for host in informed:
+        witnesses.note_informed(host, BEGAN_AT + 1.0)
+    waits_s = witnesses.earlier_orders_end_at - BEGAN_AT
+    assert (waits_s == CONFIRMATION_VALID_S + 1.0) is stopped
+    assert (waits_s > UNCONFIRMED_LIMIT_S) is not stopped
 
 
-# Guards against new voters while an earlier owner may rely on the old ones.
+# Guards against new witnesses while an earlier owner may rely on the old ones.
 @pytest.mark.parametrize(
-    ("settled", "voters"), [(False, VOTERS), (True, (*VOTERS, "hub-4"))]
+    ("settled", "written"), [(False, []), (True, [encode(["h1", "h4"])])]
 )
-def test_voters_change_only_once_the_term_is_settled(settled, voters):
-    store = FakeOwnerStore(own_row())
-    with running(store, pongs_that_know(["hub-4"], 2, OWN.incarnation), settled):
-        assert store.row.voters == voters
-
-
-# Guards against a take-over with voters of whom an earlier owner knows nothing.
-def test_a_take_over_keeps_the_voters():
-    store = FakeOwnerStore(OwnerRow(1, "", "hub-9", voters=VOTERS))
-    with running(store, pongs_that_know(["hub-4"], 1, "")):
-        assert (store.row.epoch, store.row.voters) == (2, VOTERS)
-
-
-# Guards against an owner that relies on voters that may be the stored ones no more.
-def test_an_owner_in_doubt_of_its_voters_needs_both_groups():
-    store = FakeOwnerStore(own_row())
-    with running(
-        store, pongs_that_know(VOTERS[1:], 2, OWN.incarnation), True
-    ) as started:
-        ownership, peering = started
-        store.lost = True
-        peering.pongs = pongs_that_know(
-            [f"hub-{n}" for n in range(2, 6)], 2, OWN.incarnation
-        )
-        peering.answers = lambda within_s: pongs_that_know(
-            ["hub-2"], 2, OWN.incarnation
-        )
-        gevent.sleep(CONFIRMATION_VALID_S + CHECKS_S)
-        assert not ownership.may_order(2)
-
-
-# Guards against counting who knew an earlier epoch of the same daemon.
-def test_a_daemon_that_takes_over_again_waits_for_the_voters_again():
-    store = FakeOwnerStore(own_row())
-    pongs = pongs_that_know(VOTERS[1:], 2, OWN.incarnation)
-    with running(store, pongs) as (ownership, peering):
-        store.row, store.version = OwnerRow(3, "", "hub-9", voters=VOTERS), 9
-        peering.pongs = pongs_that_know(VOTERS[1:], 3, "")
-        gevent.sleep(2 * CHECKS_S)
-        assert (ownership.is_owner, store.row.epoch) == (True, 4)
-        waits_s = ownership.earlier_orders_end_at - ownership.confirmed_by_store_at
-    assert waits_s > MANY_MISSING_LIMIT_S
+def test_witnesses_change_only_once_the_term_is_settled(settled, written):
+    term = a_term(settled, {"h1": a_session(), "h4": a_session()})
+    term.ownership.may_commit.set()
+    ProgressWriter(term).flush()
+    assert written_witnesses(term) == written
+
+
+# Guards against witnesses that never answer, such as odd entries of the host list.
+def test_a_host_that_was_never_reached_is_no_witness():
+    term = a_term(True, {"h1": a_session(), "odd": a_session(reached=False)})
+    term.ownership.may_commit.set()
+    ProgressWriter(term).flush()
+    assert written_witnesses(term) == [encode(["h1"])]
+
+
+# Guards against a take-over with witnesses of whom an earlier owner knows nothing.
+def test_a_take_over_reads_the_stored_witnesses_and_not_the_roster():
+    assert loaded_witnesses().stored == frozenset(STORED)
+
+
+# Guards against a wait that a row of an older build, or an odd one, makes too short.
+@pytest.mark.parametrize(
+    ("row", "roster", "stored"),
+    [
+        (None, ("h1",), frozenset({"h1"})),
+        (None, None, None),
+        (stored_row(b"7"), ("h1",), None),
+        (stored_row(b"\xff"), ("h1",), None),
+    ],
+)
+def test_witnesses_without_a_readable_row_are_the_roster_or_unknown(
+    row, roster, stored
+):
+    witnesses = Witnesses(BEGAN_AT)
+    witnesses.load(row, roster)
+    assert witnesses.stored == stored
+
+
+# Guards against an owner that relies on witnesses that may be the stored ones no more.
+@pytest.mark.parametrize("refuse", [False, True])
+def test_an_owner_in_doubt_of_its_witnesses_needs_both_groups(refuse):
+    term = a_term(True, {"h4": a_session()})
+    writer = gevent.spawn(ProgressWriter(term).flush)
+    gevent.sleep(0)
+    both = (frozenset(STORED), frozenset({"h4"}))
+    assert term.witnesses.electorates == both
+    term.ownership.refuse = refuse
+    term.ownership.may_commit.set()
+    gevent.wait([writer])
+    assert term.witnesses.electorates == ((both[0],) if refuse else (both[1],))
--- a/testing/protocol/test_model.py
+++ b/testing/protocol/test_model.py
@@ -64,11 +64,11 @@
 # The first scope in which a guard is needed, for those that the first of all misses.
 HUB_SCOPES = {"store_confirms_incarnation": 1, "order_names_incarnation": 1}
 ISOLATION_SCOPES = {
-    "only_voters_count": 1,
-    "one_told_before_long_wait": 1,
-    "settle_before_changing_voters": 3,
-    "change_voters_conditionally": 3,
-    "both_sets_confirm_while_unknown": 3,
+    "only_witnesses_count": 4,
+    "store_confirms_before_freeing": 1,
+    "settle_before_changing_witnesses": 4,
+    "change_witnesses_conditionally": 4,
+    "both_sets_confirm_while_unknown": 4,
 }
 
 
--- a/testing/protocol/test_progress_writer.py
+++ b/testing/protocol/test_progress_writer.py
@@ -8,6 +8,7 @@
 from primrosehub.core.rows import StoreRefused
 from primrosehub.services._job_book import JobBook, TaskPhase, apply_end
 from primrosehub.services._progress_writer import ProgressWriter
+from primrosehub.services._witnesses import Witnesses
 from testing.builders.cluster import a_queue, a_task_id, an_accepted_job
 from testing.fakes import FakeMetrics
 
@@ -42,6 +43,8 @@
         ownership=SlowOwnership(),
         metrics=FakeMetrics(),
         wake=lambda: None,
+        settled=False,
+        witnesses=Witnesses(0.0),
     )
 
 
