--- a/src/primrosehub/services/_host_session.py
+++ b/src/primrosehub/services/_host_session.py
@@ -111,7 +111,8 @@
     attempts: ``last_received_end`` and ``last_stored_end`` are the highest numbers
     received and stored; ``ends_stored`` is set after storing. ``client`` leads to one
     incarnation of the host and is replaced once another one answers, so that no order,
-    lease or acknowledgement reaches an incarnation that it was not meant for.
+    lease or acknowledgement reaches an incarnation that it was not meant for. ``info``
+    is the newest entry, which may describe an incarnation before or after that one.
 
     A new incarnation knows no epoch, so it would accept starts of an owner that was
     replaced without noticing. It gets starts only after the store has confirmed the
@@ -154,6 +155,20 @@
         """Return the host's id."""
         return self.info.host
 
+    @property
+    def described(self) -> bool:
+        """Return whether the entry may be of the incarnation that answers.
+
+        Another one may be of another kind, service, rack or capacity.
+        """
+        born_ms = self.info.born_ms
+        return not born_ms or not self._born_ms or born_ms == self._born_ms
+
+    @property
+    def draining(self) -> bool:
+        """Return whether the incarnation that answers is about to leave."""
+        return self.info.draining and self.described
+
     @property
     def used(self) -> Resources:
         """Return the resources in use, or possibly in use, on the host."""
@@ -196,6 +211,8 @@
             return "silent"
         if not self.incarnation_confirmed:
             return "ownership unconfirmed since its start"
+        if not self.described:
+            return "entry of another incarnation"
         if self.info.draining:
             return "draining"
         if now < self._no_starts_until:
@@ -368,6 +385,7 @@
     def _note_restart(self, report: HostReport, reading: _ClockReading) -> None:
         """Begin anew with another incarnation, which lists what it runs.
 
+        It may be another machine, so what was learned of the last one does not count.
         Starts that the last one left unanswered may still arrive, so their tasks are
         stopped here before they are freed.
         """
@@ -376,7 +394,11 @@
         self.client = self._new_client()
         self.last_received_end = self.last_stored_end = self._last_acked_end = 0
         self.leaves_at = None
+        self.trust, self.pace, self._no_starts_until = HostTrust(), HostPace(), 0.0
         self._born_ms, self._clock_reading = report.born_ms, reading
+        if self.info.born_ms and self.draining:
+            self._term.host_draining(self)
+        self._term.forget_tickets(self.host)
         self._note_new_incarnation()
         listed = {(run.task, run.attempt) for run in report.running}
         kept = [
--- a/src/primrosehub/services/_owner_term.py
+++ b/src/primrosehub/services/_owner_term.py
@@ -264,6 +264,11 @@
         if session.leaves_at is None:
             session.leaves_at = steady_s() + self.drain_s
 
+    def forget_tickets(self, host: str) -> None:
+        """Drop the tickets for a host, which are void in its next incarnation."""
+        for step in self.book.open_steps.values():
+            step.tickets.pop(host, None)
+
     def host_lost_tasks(
         self, session: HostSession, reason: str, kept: Collection[TaskRun] = ()
     ) -> None:
@@ -353,7 +358,7 @@
             gevent.sleep(0.25)
             now = steady_s()
             for session in list(self.sessions.values()):
-                if session.info.draining:
+                if session.draining:
                     self._evacuate(session, now)
                 departed = not session.listed and not session.answering
                 lapsed = self._earlier_leases_expired()
--- a/src/primrosehub/services/_reports.py
+++ b/src/primrosehub/services/_reports.py
@@ -57,7 +57,7 @@
                 _process_absent(term, session, task, sent_at)
     if report.remaining_ms is not None:
         session.leaves_at = steady_s() + report.remaining_ms / 1000
-    if report.draining and not session.info.draining:
+    if report.draining and not session.draining:
         term.host_draining(session)
     if session.last_received_end > session.last_stored_end:
         term.progress.wake()
--- a/src/primrosehub/services/_term_rows.py
+++ b/src/primrosehub/services/_term_rows.py
@@ -244,12 +244,14 @@
             session = self._term.open_session(info)
             log("host_listed", host=host, draining=info.draining, labels=info.labels)
             return
-        if info.draining and not session.info.draining:
-            self._term.host_draining(session)
         if not session.listed or session.info != info:
             self._term.wake()
+        was_draining = session.draining
         session.listed = True
         session.info = info
+        if session.draining and not was_draining:
+            session.leaves_at = None
+            self._term.host_draining(session)
 
     def _mark_unlisted(self, listed: set[str]) -> None:
         now = steady_s()
--- a/src/primrosehub_standins/hub_cell.py
+++ b/src/primrosehub_standins/hub_cell.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import gevent
@@ -44,6 +45,7 @@
 HOST_NAME = "jobs.example"
 PREFIX = "/quotes/"
 API_KEY = "key-of-blue"
+REGISTER_LAG_S = 0.1  # from a host's start to its entry in the store
 HOST_CAPACITY = {"cpu": 8000, "mem-mb": 16384, "gpu": 0}
 
 
@@ -120,6 +122,7 @@
         self.hosts = [WorkerHostStandin(f"i-{n}", self.journal) for n in range(hosts)]
         self.hubs: list[HubHandle] = []
         self.advice = AdviceRecord()
+        self.register_lag_s = REGISTER_LAG_S
         self._servers: list[Any] = []
         self._addresses: dict[str, str] = {}
         self._next_job = random.getrandbits(40)
@@ -127,6 +130,7 @@
         for host in self.hosts:
             self._addresses[host.host] = f"{IP}:{self._serve(host.app)}"
             self.list_host(host)
+            host.register = partial(self._register_later, host)
         self.version = 0
         self.configure()
         for number in range(hubs):
@@ -208,10 +212,21 @@
             "zone": zone,
             "state": state,
             "free-capacity": HOST_CAPACITY,
-            "labels": ["a", "r1"],
+            "labels": host.labels,
+            "born": host.born_ms,
         }
         self.store.put("servers", host.host, entry)
 
+    def _register_later(self, host: WorkerHostStandin) -> None:
+        """Let the entry of a host that has restarted follow after a time."""
+        gevent.spawn_later(self.register_lag_s, self._register_again, host)
+
+    def _register_again(self, host: WorkerHostStandin) -> None:
+        listed = self.store.value("servers", "", host.host)
+        if listed is not None:
+            born = {"labels": host.labels, "born": host.born_ms}
+            self.store.put("servers", host.host, listed | born)
+
     def cut_off(self, hubs: list[HubHandle], hosts: list[WorkerHostStandin]) -> None:
         """Cut the owner, other daemons and hosts off from the store and all others."""
         epoch = self.leader().kernel.find(cluster.OWNERSHIP).known_owner.epoch
--- a/src/primrosehub_standins/worker_host.py
+++ b/src/primrosehub_standins/worker_host.py
@@ -99,6 +99,8 @@
     max_listed_ends: int = MAX_LISTED_ENDS
     acknowledgements: list[Acknowledgement] = field(default_factory=list)
     requires_ticket: bool = False
+    labels: tuple[str, ...] = ("a", "r1")
+    register: Callable[[], None] = lambda: None  # begins with each incarnation
     _runs: dict[str, _Run] = field(default_factory=dict)
     _ends: list[list[Any]] = field(default_factory=list)
     _ended_at: dict[int, float] = field(default_factory=dict)
@@ -115,6 +117,11 @@
     _hold_before_crash: dict[str, Any] = field(default_factory=dict)
     _ended: Event = field(default_factory=Event)
 
+    @property
+    def born_ms(self) -> int:
+        """Return the Unix time of the incarnation's start."""
+        return self._born_ms
+
     @property
     def clock_ms(self) -> int:
         """Return the host's steady clock, which restarts at 0 with each incarnation."""
@@ -137,6 +144,7 @@
         self._incarnation += 1
         self._hold_before_crash = self._last_hold
         self._wake_waiters()
+        self.register()
 
     def receive_late_hold(self) -> None:
         """Carry out once more, late, the last hold of the incarnation before."""
--- a/testing/hub/test_host_restarts.py
+++ b/testing/hub/test_host_restarts.py
@@ -113,6 +113,55 @@
         cell.wait_for(owner, job, "completed")
 
 
+# Guards against starts by what the entry says of the incarnation before.
+@pytest.mark.parametrize("taken_over", [False, True])
+def test_a_host_that_is_back_as_another_kind_gets_only_its_tasks(
+    start_hubs, taken_over
+):
+    cell = start_hubs(hubs=2, hosts=1)
+    cell.register_lag_s = 2.0
+    (host,) = cell.hosts
+    step = {"count": 1, "cpu": 1000, "mem-mb": 16}
+    before = cell.submit(cell.leader(), step | {"requirements": "a"}, spec="run 0.1")
+    cell.wait_for(cell.leader(), before, "completed")
+    host.labels = ("b", "r1")
+    host.crash()
+    if taken_over:
+        cell.leader().kill()
+    old_kind = cell.submit(cell.leader(), step | {"requirements": "a"})
+    new_kind = cell.submit(cell.leader(), step | {"requirements": "b"})
+    cell.wait_for(cell.leader(), new_kind, "completed")
+    assert cell.starts(old_kind) == []
+
+
+# Guards against waiting for an entry that tells no start of its host.
+def test_a_restarted_host_whose_entries_lack_their_birth_gets_tasks(start_hubs):
+    cell = start_hubs(hosts=1)
+    (host,) = cell.hosts
+    entry = cell.store.value("servers", "", host.host)
+    del entry["born"]
+    cell.store.put("servers", host.host, entry)
+    host.register = lambda: None
+    gevent.sleep(0.5)  # until the owner has read it
+    host.crash()
+    cell.wait_for(cell.leader(), cell.submit(cell.leader()), "completed")
+
+
+# Guards against stopping tasks as an earlier incarnation was about to leave.
+def test_a_host_that_is_back_is_not_taken_for_draining(start_hubs):
+    cell = start_hubs(hosts=1)
+    cell.register_lag_s = 0.5
+    (host,) = cell.hosts
+    cell.list_host(host, state="draining")
+    gevent.sleep(cell.hubs[0].settings.bounds.host_drain_ms / 1000)
+    host.crash()
+    gevent.spawn_later(0.6, cell.list_host, host)
+    task = {"count": 1, "cpu": 1000, "estimated-runtime-ms": 5000}
+    job = cell.submit(cell.leader(), task, spec="run 2")
+    cell.wait_for(cell.leader(), job, "completed")
+    assert len(cell.starts(job)) == 1
+
+
 # Guards against taking the end of an earlier incarnation for that of the next.
 def test_a_host_that_drains_again_after_a_restart_keeps_its_tasks(start_hubs):
     cell = start_hubs(hosts=1)
