--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -210,6 +210,20 @@
         return TransactionApplied(self.version)
 
 
+class BlockedOwnership:
+    """Delay each commit until ``may_commit`` is set; refuse it if ``refuse`` is set."""
+
+    def __init__(self):
+        self.may_commit, self.refuse = Event(), False
+        self.commits = []
+
+    def commit(self, transaction):
+        self.may_commit.wait()
+        if self.refuse:
+            raise StoreRefused("no")
+        self.commits.append(transaction)
+
+
 class FakePeering:
     """Answer calls for advice with none allowed, but for silent peers."""
 
--- a/testing/protocol/test_earlier_owners.py
+++ b/testing/protocol/test_earlier_owners.py
@@ -6,14 +6,15 @@
 import pytest
 from gevent.event import Event
 
-from primrosehub.border.codec import encode
-from primrosehub.core.rows import StoredRow, StoreRefused
+from primrosehub.border.codec import decode, encode
+from primrosehub.core.peering import OwnerRow
+from primrosehub.core.rows import StoredRow
 from primrosehub.policy.isolation import CONFIRMATION_VALID_S, UNCONFIRMED_LIMIT_S
 from primrosehub.services._job_book import JobBook
 from primrosehub.services._job_rows import WITNESSES_KEY
 from primrosehub.services._progress_writer import ProgressWriter
 from primrosehub.services._witnesses import Witnesses
-from testing.fakes import FakeMetrics
+from testing.fakes import BlockedOwnership, FakeMetrics
 
 STORED = ("h1", "h2", "h3")
 BEGAN_AT = 100.0
@@ -29,20 +30,6 @@
     return witnesses
 
 
-class BlockedOwnership:
-    """Delay each commit until ``may_commit`` is set; refuse it if ``refuse`` is set."""
-
-    def __init__(self):
-        self.may_commit, self.refuse = Event(), False
-        self.commits = []
-
-    def commit(self, transaction):
-        self.may_commit.wait()
-        if self.refuse:
-            raise StoreRefused("no")
-        self.commits.append(transaction)
-
-
 def a_session(reached=True):
     info = SimpleNamespace(address="10.0.0.1:80")
     ends = {"last_received_end": 0, "last_stored_end": 0, "ends_stored": Event()}
@@ -140,3 +127,9 @@
     term.ownership.may_commit.set()
     gevent.wait([writer])
     assert term.witnesses.electorates == ((both[0],) if refuse else (both[1],))
+
+
+# Guards against a row of an older build, which names voters, that nobody can read.
+def test_the_owner_row_of_a_build_with_voters_is_read():
+    row = b'{"epoch":3,"incarnation":"x","name":"hub-1","number":4,"voters":["hub-1"]}'
+    assert decode(OwnerRow, row) == OwnerRow(3, "x", "hub-1", 4)
--- a/testing/protocol/test_progress_writer.py
+++ b/testing/protocol/test_progress_writer.py
@@ -10,22 +10,7 @@
 from primrosehub.services._progress_writer import ProgressWriter
 from primrosehub.services._witnesses import Witnesses
 from testing.builders.cluster import a_queue, a_task_id, an_accepted_job
-from testing.fakes import FakeMetrics
-
-
-class SlowOwnership:
-    """Delay each commit until ``may_commit`` is set; fail it if ``refuse`` is set."""
-
-    def __init__(self):
-        self.may_commit = Event()
-        self.refuse = False
-        self.commits = []
-
-    def commit(self, transaction):
-        self.may_commit.wait()
-        if self.refuse:
-            raise StoreRefused("no")
-        self.commits.append(transaction)
+from testing.fakes import BlockedOwnership, FakeMetrics
 
 
 class FakeSession:
@@ -40,7 +25,7 @@
     return SimpleNamespace(
         book=JobBook(1),
         sessions={"h1": FakeSession()},
-        ownership=SlowOwnership(),
+        ownership=BlockedOwnership(),
         metrics=FakeMetrics(),
         wake=lambda: None,
         settled=False,
